Lay out the modules, the inner protocol and the platform's interfaces

Cause: nothing existed; the parts that are built side by side need their interfaces first. Ruled out: one module (compiles slowly and mixes concerns); fakes in test jars (the platform's stand-in needs the same table service). Conclusion: the base for all roles.

--- /dev/null
+++ b/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
@@ -0,0 +1,6 @@
+package org.medlarhook.cli
+
+/** Starts the program. */
+fun main() {
+    println("cli")
+}
--- /dev/null
+++ b/fakes/src/main/kotlin/org/medlarhook/fakes/FaultyTableService.kt
@@ -0,0 +1,42 @@
+package org.medlarhook.fakes
+
+import arrow.core.Either
+import arrow.core.left
+import org.medlarhook.platform.Committed
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.RowKey
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+
+/** One process's view of [target], with a fault that is set from outside: each process of a test has its own. */
+public class FaultyTableService(
+    private val target: TableService,
+) : TableService {
+    /** The fault of all calls until it is changed. */
+    @Volatile
+    public var fault: TableFault = TableFault.NONE
+
+    override fun read(key: RowKey): Either<TableFailure, Row?> = reading { target.read(key) }
+
+    override fun scan(
+        table: String,
+        prefix: String,
+        afterKey: String,
+        limit: Int,
+    ): Either<TableFailure, List<Row>> = reading { target.scan(table, prefix, afterKey, limit) }
+
+    override fun transact(transaction: Transaction): Either<TableFailure, Committed> =
+        when (fault) {
+            TableFault.NONE -> target.transact(transaction)
+            TableFault.UNAVAILABLE -> TableFailure.Unavailable("outage").left()
+            TableFault.REQUEST_LOST -> TableFailure.OutcomeUnknown("request lost").left()
+            TableFault.ANSWER_LOST -> {
+                target.transact(transaction)
+                TableFailure.OutcomeUnknown("answer lost").left()
+            }
+        }
+
+    private fun <T> reading(call: () -> Either<TableFailure, T>): Either<TableFailure, T> =
+        if (fault == TableFault.NONE) call() else TableFailure.Unavailable("outage").left()
+}
--- /dev/null
+++ b/loadtool/src/main/kotlin/org/medlarhook/loadtool/Main.kt
@@ -0,0 +1,6 @@
+package org.medlarhook.loadtool
+
+/** Starts the program. */
+fun main() {
+    println("loadtool")
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
@@ -0,0 +1,6 @@
+package org.medlarhook.standins
+
+/** Starts the program. */
+fun main() {
+    println("standins")
+}
