Serve requests end to end through separate processes

Cause: nothing could be run. Ruled out: one process for all roles (hides the failures that matter); settings by flags (the house asks for JSON). Change: entry (callers' listener, directory poll, choice of upstream), sidecar (attempts, engine and service adapters, registration), stand-ins for platform, engine and plain service, a harness that starts them as processes, and ./demo. Conclusion: the thin path stands; each role grows behind its interfaces.

--- /dev/null
+++ b/harness/src/main/kotlin/org/medlarhook/harness/ManagedProcess.kt
@@ -0,0 +1,54 @@
+package org.medlarhook.harness
+
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/** A process of a test fleet. Output goes to [logFile]. */
+public class ManagedProcess private constructor(
+    public val name: String,
+    public val logFile: Path,
+    private val process: Process,
+) {
+    /** The process id. */
+    public val pid: Long = process.pid()
+
+    /** True while the process runs. */
+    public val isAlive: Boolean
+        get() = process.isAlive
+
+    /** Asks for a graceful shutdown (SIGTERM) and waits up to [timeoutMs]; true if the process has ended. */
+    public fun terminate(timeoutMs: Long = STOP_TIMEOUT_MS): Boolean {
+        process.destroy()
+        return process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Ends the process at once (SIGKILL). */
+    public fun kill() {
+        process.destroyForcibly().waitFor()
+    }
+
+    /** Stops the process's execution (SIGSTOP) until [resume]. */
+    public fun pause(): Unit = signal("-STOP")
+
+    /** Lets a paused process go on (SIGCONT). */
+    public fun resume(): Unit = signal("-CONT")
+
+    private fun signal(signal: String) {
+        ProcessBuilder("kill", signal, pid.toString()).start().waitFor()
+    }
+
+    public companion object {
+        private const val STOP_TIMEOUT_MS = 30_000L
+
+        /** Starts [command]. */
+        public fun start(name: String, command: List<String>, logDirectory: Path): ManagedProcess {
+            val logFile = logDirectory.resolve("$name.log")
+            val process =
+                ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile()))
+                    .start()
+            return ManagedProcess(name, logFile, process)
+        }
+    }
+}
--- /dev/null
+++ b/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
@@ -0,0 +1,76 @@
+package org.medlarhook.harness.demo
+
+import org.medlarhook.harness.DirectorySeed
+import org.medlarhook.harness.Fleet
+import org.medlarhook.harness.Readiness
+
+/** The steps of the demonstration. Each throws if what it shows does not hold. */
+internal class DemoSteps(
+    private val fleet: Fleet,
+    private val seed: DirectorySeed,
+    private val key: String,
+) {
+    private val caller = Caller()
+    private val first = fleet.entries.first().url
+    private val second = fleet.entries.last().url
+
+    /** True once a small request is served through every entry. */
+    fun isServing(): Boolean =
+        fleet.entries.all { caller.chat(it.url, key, "hello", maxTokens = 1).status == HTTP_OK } &&
+            fleet.entries.all { caller.get("${it.url}/services/${Demo.SERVICE}/standings", null).status == HTTP_OK }
+
+    /** Runs all steps and prints the outcome of each. */
+    fun runAll(): Boolean {
+        val steps =
+            listOf(
+                DemoStep("a verdict from a long prompt", ::longVerdict),
+                DemoStep("a streamed instruction", ::streamedInstruction),
+                DemoStep("a booking through a plain service", ::booking),
+                DemoStep("an open route needs no key", ::openRoute),
+                DemoStep("a withdrawn key stops working", ::withdrawnKey),
+            )
+        val failed = steps.count { !it.run() }
+        println("demo: ${steps.size - failed} passed, $failed failed")
+        return failed == 0
+    }
+
+    private fun longVerdict() {
+        val answer = caller.chat(first, key, "site manual ".repeat(LONG_PROMPT_WORDS), maxTokens = 2)
+        check(answer.status == HTTP_OK) { answer.toString() }
+    }
+
+    private fun streamedInstruction() {
+        val answer = caller.chat(second, key, "how to wipe a lamp", maxTokens = STREAM_TOKENS, stream = true)
+        check(answer.status == HTTP_OK) { answer.toString() }
+        check(answer.body.trimEnd().endsWith("data: [DONE]")) { "no end mark" }
+    }
+
+    private fun booking() {
+        val answer = caller.post("$first/services/${Demo.SERVICE}/bookings", key, """{"plaza":"central"}""")
+        check(answer.status == HTTP_CREATED) { answer.toString() }
+    }
+
+    private fun openRoute() {
+        val answer = caller.get("$second/services/${Demo.SERVICE}/standings", null)
+        check(answer.status == HTTP_OK) { answer.toString() }
+    }
+
+    private fun withdrawnKey() {
+        val extra = "mh_extra.another-secret"
+        seed.put(seed.grant(extra, Demo.WORKSPACE))
+        Readiness.until("the new key does not work") { caller.models(first, extra).status == HTTP_OK }
+        seed.put(seed.grant(extra, Demo.WORKSPACE, withdrawn = true))
+        Readiness.until("the withdrawn key still works", WITHDRAWAL_LIMIT_MS) {
+            fleet.entries.all { caller.models(it.url, extra).status == HTTP_UNAUTHORIZED }
+        }
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_CREATED = 201
+        const val HTTP_UNAUTHORIZED = 401
+        const val LONG_PROMPT_WORDS = 2_000
+        const val STREAM_TOKENS = 20
+        const val WITHDRAWAL_LIMIT_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/EventLog.kt
@@ -0,0 +1,25 @@
+package org.medlarhook.runtime.log
+
+import io.github.oshai.kotlinlogging.KLogger
+
+/** Logs [event] at info level with [fields]; never pass secrets. */
+public fun KLogger.event(event: LogEvent, vararg fields: Pair<String, Any?>) {
+    atInfo {
+        message = event.message
+        payload = buildPayload(event, fields)
+    }
+}
+
+/** Logs [event] at warning level with [fields]; never pass secrets. */
+public fun KLogger.warnEvent(event: LogEvent, vararg fields: Pair<String, Any?>) {
+    atWarn {
+        message = event.message
+        payload = buildPayload(event, fields)
+    }
+}
+
+private fun buildPayload(event: LogEvent, fields: Array<out Pair<String, Any?>>): Map<String, Any?> =
+    buildMap {
+        put("event", event.number)
+        putAll(fields)
+    }
--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -0,0 +1,30 @@
+package org.medlarhook.runtime.log
+
+/**
+ * The numbered events of the log. The catalogue in `docs/LOG-EVENTS.md` lists each of them.
+ *
+ * 1xx: life of a process; 2xx: requests; 3xx: upstreams; 4xx: directory; 5xx: leases, orders and usage;
+ * 6xx: the platform's services.
+ *
+ * @property number the number that never changes its meaning.
+ * @property message one line for people.
+ */
+public enum class LogEvent(
+    public val number: Int,
+    public val message: String,
+) {
+    PROCESS_STARTED(101, "Process started"),
+    DRAIN_STARTED(102, "Graceful shutdown started"),
+    PROCESS_STOPPED(103, "Process stopped"),
+    START_FAILED(104, "Process could not start"),
+    REQUEST_FINISHED(201, "Request finished"),
+    REQUEST_FAILED(202, "Request failed"),
+    REQUEST_REFUSED(203, "Request refused"),
+    ATTEMPT_FAILED(204, "Attempt failed"),
+    UPSTREAM_CONNECTED(301, "Upstream connected"),
+    UPSTREAM_LOST(302, "Upstream lost"),
+    UPSTREAM_DRAINING(303, "Upstream drains"),
+    ENGINE_CALL_FAILED(304, "Call of the engine or service failed"),
+    DIRECTORY_ADVANCED(401, "Directory advanced"),
+    PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
@@ -0,0 +1,40 @@
+package org.medlarhook.runtime.platform
+
+import arrow.core.Either
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
+import org.medlarhook.platform.ListedVm
+import org.medlarhook.platform.ObjectStore
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.UpstreamOrder
+import org.medlarhook.platform.UpstreamOrdering
+import org.medlarhook.platform.UsageReport
+import org.medlarhook.platform.UsageReporting
+import org.medlarhook.platform.VmDirectory
+
+/** The platform's services besides the tables, over HTTP. */
+public class HttpPlatform(
+    private val http: PlatformHttp,
+) : ObjectStore,
+    UpstreamOrdering,
+    UsageReporting,
+    VmDirectory {
+    override fun put(name: String, content: ByteArray): Either<TableFailure, Unit> =
+        http.put(http.url("objects", name), content).map { }
+
+    override fun get(name: String): Either<TableFailure, ByteArray?> =
+        http.get(http.url("objects", name)).map { if (it.status == PlatformHttp.HTTP_OK) it.body else null }
+
+    override fun order(order: UpstreamOrder): Either<TableFailure, Unit> =
+        http.post(http.url("upstream-orders"), JSON.encodeToString(UpstreamOrder.serializer(), order)).map { }
+
+    override fun deliver(report: UsageReport): Either<TableFailure, Unit> =
+        http.post(http.url("usage-reports"), JSON.encodeToString(UsageReport.serializer(), report)).map { }
+
+    override fun list(): Either<TableFailure, List<ListedVm>> =
+        http.get(http.url("vms")).map { JSON.decodeFromString(ListSerializer(ListedVm.serializer()), it.text()) }
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
@@ -0,0 +1,78 @@
+package org.medlarhook.runtime.platform
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import okhttp3.HttpUrl
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.medlarhook.platform.TableFailure
+import java.io.IOException
+import java.net.ConnectException
+import java.time.Duration
+
+/**
+ * HTTP access to the platform's services. OkHttp's own retries and redirects are off: a call is sent at most once.
+ *
+ * @property baseUrl the platform's address, such as `http://127.0.0.1:7000`.
+ */
+public class PlatformHttp(
+    private val baseUrl: String,
+    callTimeoutMs: Long,
+) {
+    private val client =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .callTimeout(Duration.ofMillis(callTimeoutMs))
+            .build()
+
+    /** The URL of [segments] under the base address. */
+    internal fun url(vararg segments: String): HttpUrl =
+        segments.fold(baseUrl.toHttpUrl().newBuilder()) { builder, segment -> builder.addPathSegment(segment) }.build()
+
+    /** Sends a JSON body by POST. */
+    internal fun post(url: HttpUrl, json: String): Either<TableFailure, PlatformAnswer> =
+        send(Request.Builder().url(url).post(json.toRequestBody(JSON)).build())
+
+    /** Sends bytes by PUT. */
+    internal fun put(url: HttpUrl, content: ByteArray): Either<TableFailure, PlatformAnswer> =
+        send(Request.Builder().url(url).put(content.toRequestBody(BYTES)).build())
+
+    /** Reads by GET. */
+    internal fun get(url: HttpUrl): Either<TableFailure, PlatformAnswer> = send(Request.Builder().url(url).build())
+
+    private fun send(request: Request): Either<TableFailure, PlatformAnswer> =
+        try {
+            client.newCall(request).execute().use { response ->
+                PlatformAnswer(response.code, response.body.bytes()).classified()
+            }
+        } catch (e: ConnectException) {
+            TableFailure.Unavailable(e.message ?: "not connected").left()
+        } catch (e: IOException) {
+            TableFailure.OutcomeUnknown(e.message ?: "no answer").left()
+        }
+
+    private fun PlatformAnswer.classified(): Either<TableFailure, PlatformAnswer> =
+        when (status) {
+            HTTP_OK, HTTP_NOT_FOUND, HTTP_CONFLICT -> right()
+            HTTP_UNAVAILABLE -> TableFailure.Unavailable("status $status").left()
+            else -> TableFailure.OutcomeUnknown("status $status").left()
+        }
+
+    internal companion object {
+        const val HTTP_OK = 200
+        const val HTTP_NOT_FOUND = 404
+        const val HTTP_CONFLICT = 409
+        const val HTTP_UNAVAILABLE = 503
+        private val JSON = "application/json".toMediaType()
+        private val BYTES: okhttp3.MediaType? = null
+
+        private fun ByteArray.toRequestBody(type: okhttp3.MediaType?): RequestBody = this.toRequestBody(type, 0, size)
+    }
+}
--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -0,0 +1,46 @@
+package org.medlarhook.runtime.settings
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Settings of an entry.
+ *
+ * @property vmId the platform's name of the VM.
+ * @property callers listener towards callers, host and port.
+ * @property operators listener towards operators.
+ * @property peers gRPC listener towards other entries.
+ */
+@Serializable
+public data class EntrySettings(
+    val entryId: String,
+    val vmId: String,
+    val dataCentre: String,
+    val region: String,
+    val callers: ListenAddress,
+    val operators: ListenAddress,
+    val peers: ListenAddress,
+    val platform: PlatformSettings,
+    val limits: CallerLimits = CallerLimits(),
+)
+
+/** Host and port to listen on. */
+@Serializable
+public data class ListenAddress(
+    val host: String = "127.0.0.1",
+    val port: Int,
+)
+
+/** How the platform's services are reached. */
+@Serializable
+public data class PlatformSettings(
+    val url: String,
+    val callTimeoutMs: Long = 2_000,
+)
+
+/** Limits on what callers may send. */
+@Serializable
+public data class CallerLimits(
+    val maxBodyBytes: Long = 4_194_304,
+    val maxHeaderBytes: Int = 16_384,
+    val maxDeadlineMs: Long = 600_000,
+)
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/registration/SidecarRegistrar.kt
@@ -0,0 +1,48 @@
+package org.medlarhook.sidecar.registration
+
+import arrow.core.Either
+import arrow.core.flatMap
+import kotlinx.serialization.json.Json
+import org.medlarhook.core.membership.UpstreamRegistration
+import org.medlarhook.platform.Condition
+import org.medlarhook.platform.RowKey
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableNames
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.Write
+import org.medlarhook.runtime.settings.SidecarSettings
+import java.util.UUID
+
+/** Writes the upstream's row with the next incarnation number. */
+internal class SidecarRegistrar(
+    private val settings: SidecarSettings,
+    private val tables: TableService,
+) {
+    private val key = RowKey(TableNames.UPSTREAM, "${settings.dataCentre}/${settings.upstreamId}")
+    private val nonce = UUID.randomUUID().toString()
+
+    /** Registers once and returns the row written; a lost answer is settled by calling again. */
+    fun register(): Either<TableFailure, UpstreamRegistration> =
+        tables.read(key).flatMap { row ->
+            val present = row?.let { Json.decodeFromString(UpstreamRegistration.serializer(), it.value) }
+            if (present != null && present.nonce == nonce) return@flatMap Either.Right(present)
+            val next = registration(1 + (present?.incarnation ?: 0))
+            val value = Json.encodeToString(UpstreamRegistration.serializer(), next)
+            val condition = Condition(key, row?.version ?: Condition.ABSENT)
+            tables.transact(Transaction(listOf(condition), listOf(Write(key, value)))).map { next }
+        }
+
+    private fun registration(incarnation: Long) =
+        UpstreamRegistration(
+            upstreamId = settings.upstreamId,
+            vmId = settings.vmId,
+            dataCentre = settings.dataCentre,
+            region = settings.region,
+            incarnation = incarnation,
+            address = "${settings.entries.host}:${settings.entries.port}",
+            models = settings.engine?.models.orEmpty(),
+            services = settings.service?.names.orEmpty(),
+            nonce = nonce,
+        )
+}
--- a/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
@@ -1,6 +1,54 @@
 package org.medlarhook.standins
 
-/** Starts the program. */
-fun main() {
-    println("standins")
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.medlarhook.standins.engine.EngineModel
+import org.medlarhook.standins.engine.EngineServer
+import org.medlarhook.standins.platform.PlatformServer
+import org.medlarhook.standins.service.BookingServer
+
+/** Starts one stand-in: `platform`, `engine` or `service`. */
+@OptIn(ExperimentalCli::class)
+fun main(args: Array<String>) {
+    val parser = ArgParser("medlarhook-standins", prefixStyle = ArgParser.OptionPrefixStyle.GNU)
+    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
+    parser.parse(args)
+}
+
+@OptIn(ExperimentalCli::class)
+private class PlatformCommand : Subcommand("platform", "Tables, objects, ordering, usage reports and VM list") {
+    private val port by option(ArgType.Int, "port").required()
+
+    override fun execute() {
+        PlatformServer().start(port)
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class EngineCommand : Subcommand("engine", "A model engine") {
+    private val port by option(ArgType.Int, "port").required()
+    private val model by option(ArgType.String, "model").required()
+    private val slots by option(ArgType.Int, "slots").default(EngineModel.DEFAULT_SLOTS)
+    private val prefillTokensPerS by option(ArgType.Double, "prefill-tokens-per-s")
+        .default(EngineModel.DEFAULT_PREFILL_TOKENS_PER_S)
+    private val decodeTokensPerS by option(ArgType.Double, "decode-tokens-per-s")
+        .default(EngineModel.DEFAULT_DECODE_TOKENS_PER_S)
+
+    override fun execute() {
+        EngineServer(EngineModel(listOf(model), slots, prefillTokensPerS, decodeTokensPerS)).start(port)
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class ServiceCommand : Subcommand("service", "A booking service that counts its executions") {
+    private val port by option(ArgType.Int, "port").required()
+    private val delayMs by option(ArgType.Int, "delay-ms").default(0)
+
+    override fun execute() {
+        BookingServer(delayMs.toLong()).start(port)
+    }
 }
