Queue requests by workspace in proportion to tokens

Cause: one large workspace must not starve a small one at an upstream, and queues must stay bounded. Ruled out: deficit round robin (a round's quantum delays small items behind large ones); priorities across workspaces (each would raise its own).

--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/fairness/FairQueueFuzz.kt
@@ -0,0 +1,102 @@
+package org.medlarhook.core.fairness
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import net.jqwik.api.constraints.LongRange
+import kotlin.math.abs
+import kotlin.random.Random
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private const val MAX_COST_TOKENS = 500L
+private const val MAX_ITEMS = 8
+private const val ROUNDS = 60
+
+private data class Job(
+    val workspace: Int,
+    val costTokens: Long,
+    val deadlineMs: Long,
+    val number: Int,
+)
+
+class FairQueueFuzz {
+    @Property(seed = "11", tries = 300)
+    fun `Given workspaces with a standing backlog, then service per weight differs by one item of each at most`(
+        @ForAll @IntRange(min = 2, max = 6) workspaces: Int,
+        @ForAll @LongRange(min = 1) seed: Long,
+    ) {
+        val random = Random(seed)
+        val weights = List(workspaces) { random.nextInt(1, 21) }
+        val queue = FairQueue<Job>(maxItems = workspaces * 2)
+        val servedTokens = LongArray(workspaces)
+
+        fun refill(workspace: Int) {
+            val job = Job(workspace, random.nextLong(1, MAX_COST_TOKENS + 1), Long.MAX_VALUE, 0)
+            queue.offer("w$workspace", weights[workspace], job.costTokens, random.nextInt(3), job.deadlineMs, 0, job)
+        }
+        repeat(2 * workspaces) { refill(it % workspaces) }
+        repeat(ROUNDS) {
+            val job = queue.poll(0)!!
+            servedTokens[job.workspace] += job.costTokens
+            refill(job.workspace)
+            assertGapBounded(weights, servedTokens)
+        }
+    }
+
+    private fun assertGapBounded(
+        weights: List<Int>,
+        servedTokens: LongArray,
+    ) {
+        for (a in weights.indices) {
+            for (b in weights.indices) {
+                val gap = abs(servedTokens[a].toDouble() / weights[a] - servedTokens[b].toDouble() / weights[b])
+                val bound = MAX_COST_TOKENS.toDouble() / weights[a] + MAX_COST_TOKENS.toDouble() / weights[b]
+                assertTrue(gap <= bound + 1e-6, "gap $gap exceeds $bound between $a and $b")
+            }
+        }
+    }
+
+    @Property(seed = "12", tries = 300)
+    fun `Given any calls, then each item leaves once, never late, and the bound holds`(
+        @ForAll @LongRange(min = 1) seed: Long,
+    ) {
+        val random = Random(seed)
+        val queue = FairQueue<Job>(MAX_ITEMS)
+        val held = mutableMapOf<Job, Ticket>()
+        var nowMs = 0L
+
+        fun left(job: Job) = assertTrue(held.remove(job) != null, "$job left twice")
+        repeat(ROUNDS) { round ->
+            nowMs += random.nextLong(3)
+            when (random.nextInt(6)) {
+                0, 1, 2 -> {
+                    val job = Job(random.nextInt(4), random.nextLong(1, 50), nowMs + random.nextLong(20), round)
+                    val name = "w${job.workspace}"
+                    val result = queue.offer(name, 1 + job.workspace, job.costTokens, 0, job.deadlineMs, nowMs, job)
+                    if (result is OfferResult.Accepted) {
+                        result.displaced?.let { left(it) }
+                        held[job] = result.ticket
+                    }
+                }
+                3 -> queue.poll(nowMs)?.let { job ->
+                    assertTrue(job.deadlineMs > nowMs)
+                    left(job)
+                }
+                4 -> held.entries.randomOrNull(random)?.let { (job, ticket) ->
+                    assertEquals(job, queue.remove(ticket))
+                    left(job)
+                }
+                else -> {
+                    val due = held.keys.filter { it.deadlineMs <= nowMs }.toSet()
+                    val expired = queue.expire(nowMs)
+                    assertEquals(due, expired.toSet())
+                    expired.forEach { left(it) }
+                }
+            }
+            assertEquals(held.size, queue.size)
+            assertTrue(queue.size <= MAX_ITEMS)
+            assertEquals(held.keys.sumOf { it.costTokens }, queue.queuedTokens)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/fairness/FairQueueTest.kt
@@ -0,0 +1,93 @@
+package org.medlarhook.core.fairness
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+
+class FairQueueTest {
+    private val queue = FairQueue<String>(maxItems = 4)
+
+    private fun offer(
+        item: String,
+        workspace: String = "a",
+        costTokens: Long = 10,
+        priority: Int = 0,
+        deadlineMs: Long = 1_000,
+    ) = queue.offer(workspace, weight = 1, costTokens, priority, deadlineMs, nowMs = 0, item)
+
+    private fun drain(nowMs: Long = 0) = generateSequence { queue.poll(nowMs) }.toList()
+
+    @Nested
+    inner class Order {
+        @Test
+        fun `Given a backlog of one workspace, then a newcomer is served after at most one item of it`() {
+            offer("a1", "a")
+            offer("a2", "a")
+            offer("a3", "a")
+            offer("b1", "b")
+            assertEquals(listOf("a1", "b1", "a2", "a3"), drain())
+        }
+
+        @Test
+        fun `Given priorities and deadlines, then they order the items of the workspace`() {
+            offer("late", deadlineMs = 900)
+            offer("early", deadlineMs = 500)
+            offer("urgent", priority = 1)
+            assertEquals(listOf("urgent", "early", "late"), drain())
+        }
+
+        @Test
+        fun `Given a workspace that left with a debt, then it does not lose the debt by coming back`() {
+            offer("a1", "a", costTokens = 100)
+            offer("b1", "b")
+            offer("b2", "b")
+            assertEquals("a1", queue.poll(0))
+            offer("a2", "a")
+            assertEquals(listOf("b1", "b2", "a2"), drain())
+        }
+    }
+
+    @Nested
+    inner class Bound {
+        @Test
+        fun `Given a full queue, then the workspace with the largest backlog gives way to a smaller one`() {
+            repeat(4) { offer("a$it", "a") }
+            val accepted = assertIs<OfferResult.Accepted<String>>(offer("b", "b"))
+            assertEquals("a3", accepted.displaced)
+            assertEquals(4, queue.size)
+        }
+
+        @Test
+        fun `Given a full queue, then the workspace with the largest backlog gets nothing more`() {
+            repeat(4) { offer("a$it", "a") }
+            assertIs<OfferResult.Full>(offer("a4", "a"))
+        }
+    }
+
+    @Nested
+    inner class Leaving {
+        @Test
+        fun `Given passed deadlines, then the items are not polled and leave as expired`() {
+            offer("gone", deadlineMs = 100)
+            offer("live", deadlineMs = 200)
+            assertEquals("live", queue.poll(100))
+            assertEquals(listOf("gone"), queue.expire(100))
+            assertEquals(0, queue.queuedTokens)
+        }
+
+        @Test
+        fun `Given a removed ticket, then the item is gone for good`() {
+            val ticket = assertIs<OfferResult.Accepted<String>>(offer("x")).ticket
+            assertEquals("x", queue.remove(ticket))
+            assertNull(queue.remove(ticket))
+            assertNull(queue.poll(0))
+        }
+
+        @Test
+        fun `Given an offer after its deadline, then it is not taken`() {
+            assertIs<OfferResult.Expired>(queue.offer("a", 1, 1, 0, deadlineMs = 5, nowMs = 5, "x"))
+        }
+    }
+}
