--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryJson.kt
@@ -0,0 +1,24 @@
+package org.medlarhook.core.directory
+
+import kotlinx.serialization.json.Json
+
+/** The JSON form of the directory in tables, objects and messages. Unknown fields of newer writers are ignored. */
+public object DirectoryJson {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Writes [change]. */
+    public fun encode(change: DirectoryChange): String = json.encodeToString(DirectoryChange.serializer(), change)
+
+    /** Reads a change. */
+    public fun decodeChange(text: String): DirectoryChange = json.decodeFromString(DirectoryChange.serializer(), text)
+
+    internal fun encode(head: DirectoryHead): String = json.encodeToString(DirectoryHead.serializer(), head)
+
+    internal fun decodeHead(text: String): DirectoryHead = json.decodeFromString(DirectoryHead.serializer(), text)
+
+    internal fun encode(snapshot: DirectorySnapshot): String =
+        json.encodeToString(DirectorySnapshot.serializer(), snapshot)
+
+    internal fun decodeSnapshot(text: String): DirectorySnapshot =
+        json.decodeFromString(DirectorySnapshot.serializer(), text)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryLog.kt
@@ -0,0 +1,136 @@
+package org.medlarhook.core.directory
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import org.medlarhook.platform.Condition
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.RowKey
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableNames
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.Write
+
+/** The log of accepted changes in the tables: a head row, and a row for each version. */
+public class DirectoryLog(
+    private val tables: TableService,
+) {
+    /** Reads the head. */
+    public fun head(): Either<TableFailure, DirectoryHead> = headRow().map { it.toHead() }
+
+    /** Returns up to [limit] changes above [version] in order. */
+    public fun readAfter(
+        version: Long,
+        limit: Int = PAGE_LIMIT,
+    ): Either<TableFailure, List<DirectoryChange>> =
+        tables
+            .scan(TableNames.DIRECTORY_CHANGE, afterKey = keyOf(version), limit = limit)
+            .map { rows -> rows.map { DirectoryJson.decodeChange(it.value) } }
+
+    /** Returns the newest [limit] changes that the log retains, in order. */
+    public fun history(limit: Int): Either<TableFailure, List<DirectoryChange>> =
+        head().flatMap { readAfter(maxOf(0, it.version - limit), limit) }
+
+    /**
+     * Appends [change] behind the version before its own, and returns its version.
+     *
+     * Appending the same change (version and nonce) again has no further effect.
+     */
+    public fun append(change: DirectoryChange): Either<AppendFailure, Long> {
+        require(change.nonce.isNotEmpty()) { "a change needs a nonce" }
+        var result: Either<AppendFailure, Long> = AppendFailure.Unavailable("not tried").left()
+        var mayBeWritten = false
+        repeat(APPEND_ATTEMPTS) {
+            val attempt = attempt(change)
+            if (attempt is Attempt.Settled) return attempt.result
+            mayBeWritten = mayBeWritten || attempt is Attempt.Unsettled
+            result = attempt.failure(mayBeWritten).left()
+        }
+        return result
+    }
+
+    private fun attempt(change: DirectoryChange): Attempt {
+        val row = headRow().getOrElse { return Attempt.Unreached }
+        val head = row.toHead()
+        if (head.version >= change.version) return settle(change, head)
+        if (head.version <
+            change.version - 1
+        ) {
+            return Attempt.Settled(AppendFailure.Conflict(head.version, emptyList()).left())
+        }
+        return when (tables.transact(transaction(change, head, row)).leftOrNull()) {
+            null -> Attempt.Settled(change.version.right())
+            is TableFailure.Conflict -> Attempt.Raced
+            is TableFailure.Unavailable -> Attempt.Unreached
+            is TableFailure.OutcomeUnknown -> Attempt.Unsettled
+        }
+    }
+
+    private fun settle(change: DirectoryChange, head: DirectoryHead): Attempt {
+        val row = tables.read(changeKey(change.version)).getOrElse { return Attempt.Unreached }
+        val written = row?.let { DirectoryJson.decodeChange(it.value) } ?: return Attempt.Unsettled
+        if (written.nonce == change.nonce) return Attempt.Settled(change.version.right())
+        return conflictWith(change, head)
+    }
+
+    private fun conflictWith(change: DirectoryChange, head: DirectoryHead): Attempt =
+        readAfter(change.version - 1).fold(
+            { Attempt.Unreached },
+            { others -> Attempt.Settled(AppendFailure.Conflict(head.version, others).left()) },
+        )
+
+    private fun transaction(change: DirectoryChange, head: DirectoryHead, row: Row?): Transaction {
+        val headVersion = row?.version ?: Condition.ABSENT
+        return Transaction(
+            conditions = listOf(
+                Condition(HEAD_KEY, headVersion),
+                Condition(changeKey(change.version), Condition.ABSENT),
+            ),
+            writes = listOf(
+                Write(HEAD_KEY, DirectoryJson.encode(head.copy(version = change.version))),
+                Write(changeKey(change.version), DirectoryJson.encode(change)),
+            ),
+        )
+    }
+
+    internal fun headRow(): Either<TableFailure, Row?> = tables.read(HEAD_KEY)
+
+    /** What one attempt to append came to. */
+    private sealed interface Attempt {
+        data class Settled(
+            val result: Either<AppendFailure, Long>,
+        ) : Attempt
+
+        data object Raced : Attempt
+
+        data object Unreached : Attempt
+
+        data object Unsettled : Attempt
+    }
+
+    private fun Attempt.failure(mayBeWritten: Boolean): AppendFailure =
+        if (mayBeWritten) {
+            AppendFailure.OutcomeUnknown("the answer of the tables was lost")
+        } else {
+            AppendFailure.Unavailable("the tables did not take the change: $this")
+        }
+
+    public companion object {
+        /** Changes that one read returns at most unless told otherwise. */
+        public const val PAGE_LIMIT: Int = 500
+
+        private const val APPEND_ATTEMPTS = 3
+        private const val VERSION_DIGITS = 19
+
+        internal val HEAD_KEY = RowKey(TableNames.DIRECTORY_HEAD, "head")
+
+        internal fun keyOf(version: Long): String = version.toString().padStart(VERSION_DIGITS, '0')
+
+        internal fun changeKey(version: Long) = RowKey(TableNames.DIRECTORY_CHANGE, keyOf(version))
+
+        internal fun Row?.toHead(): DirectoryHead = this?.let { DirectoryJson.decodeHead(it.value) } ?: DirectoryHead()
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/SnapshotStore.kt
@@ -0,0 +1,23 @@
+package org.medlarhook.core.directory
+
+import arrow.core.Either
+import org.medlarhook.platform.ObjectStore
+import org.medlarhook.platform.TableFailure
+
+/** Keeps snapshots of the directory in the object store, one object a version. */
+internal class SnapshotStore(
+    private val objects: ObjectStore,
+) {
+    fun save(state: DirectoryState): Either<TableFailure, Unit> {
+        val text = DirectoryJson.encode(DirectorySnapshot.of(state))
+        return objects.put(nameOf(state.version), text.encodeToByteArray())
+    }
+
+    /** Returns the state of the snapshot at [version], or null if there is none. */
+    fun load(version: Long): Either<TableFailure, DirectoryState?> =
+        objects.get(nameOf(version)).map { content ->
+            content?.let { DirectoryJson.decodeSnapshot(it.decodeToString()).toState() }
+        }
+
+    private fun nameOf(version: Long) = "directory/snapshot-${DirectoryLog.keyOf(version)}"
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/directory/MapObjectStore.kt
@@ -0,0 +1,18 @@
+package org.medlarhook.core.directory
+
+import arrow.core.Either
+import arrow.core.right
+import org.medlarhook.platform.ObjectStore
+import org.medlarhook.platform.TableFailure
+
+/** An object store in memory. */
+class MapObjectStore : ObjectStore {
+    private val objects = mutableMapOf<String, ByteArray>()
+
+    override fun put(name: String, content: ByteArray): Either<TableFailure, Unit> {
+        objects[name] = content
+        return Unit.right()
+    }
+
+    override fun get(name: String): Either<TableFailure, ByteArray?> = objects[name].right()
+}
