Give operators a client, checked settings and examples

Ruled out: a client that talks to the platform's tables itself (every operator would need its credentials, and checks would stand twice); nested subcommands of kotlinx-cli (options of the second level lose the parser's style), so each group has a parser of its own. Change: operators' calls on the entry (configuration, history, keys), the client's commands, settings merged as JSON merge patches with all faults named at once, examples of both deployments. Conclusion: the demonstration is set up through the operators' client alone.

--- a/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
@@ -1,61 +1,45 @@
 package org.medlarhook.cli
 
-import arrow.core.Either
 import kotlinx.cli.ArgParser
-import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
-import kotlinx.cli.required
-import kotlinx.serialization.KSerializer
-import org.medlarhook.entry.Entry
-import org.medlarhook.runtime.settings.EntrySettings
-import org.medlarhook.runtime.settings.SettingsLoader
-import org.medlarhook.runtime.settings.SidecarSettings
-import org.medlarhook.sidecar.Sidecar
-import java.nio.file.Path
-import kotlin.system.exitProcess
-
-private const val EXIT_SETTINGS = 2
-
-/** Starts a role of the system. */
-@OptIn(ExperimentalCli::class)
+import org.medlarhook.cli.command.EntryCommand
+import org.medlarhook.cli.command.ReportCommand
+import org.medlarhook.cli.command.SidecarCommand
+import org.medlarhook.cli.command.StateCommand
+import org.medlarhook.cli.command.UpstreamsCommand
+import org.medlarhook.cli.command.VersionCommand
+import org.medlarhook.cli.command.WorkspaceCommand
+import org.medlarhook.cli.command.configCommand
+import org.medlarhook.cli.command.keyCommand
+import org.medlarhook.cli.command.settingsCommand
+
+private const val PROGRAM = "medlarhook"
+
+/** Runs one role of the system, or one command of the operators' client. */
 fun main(args: Array<String>) {
-    val parser = ArgParser("medlarhook", prefixStyle = ArgParser.OptionPrefixStyle.GNU)
-    parser.subcommands(EntryCommand(), SidecarCommand())
-    parser.parse(args)
-}
-
-@OptIn(ExperimentalCli::class)
-private class EntryCommand : Subcommand("entry", "Runs an entry") {
-    private val settings by option(
-        ArgType.String,
-        "settings",
-        description = "Base file and overlays, by commas",
-    ).required()
-
-    override fun execute() {
-        Entry(loadOrExit(settings, EntrySettings.serializer())).run()
+    val groups = listOf(settingsCommand(), configCommand(), keyCommand())
+    val group = groups.firstOrNull { it.name == args.firstOrNull() }
+    if (group != null) {
+        group.run(PROGRAM, args.drop(1).toTypedArray())
+    } else {
+        runCommand(args, groups.map { it.listing() })
     }
 }
 
 @OptIn(ExperimentalCli::class)
-private class SidecarCommand : Subcommand("sidecar", "Runs the sidecar of one upstream") {
-    private val settings by option(
-        ArgType.String,
-        "settings",
-        description = "Base file and overlays, by commas",
-    ).required()
-
-    override fun execute() {
-        Sidecar(loadOrExit(settings, SidecarSettings.serializer())).run()
-    }
+private fun runCommand(args: Array<String>, listings: List<Subcommand>) {
+    val parser = ArgParser(PROGRAM, prefixStyle = ArgParser.OptionPrefixStyle.GNU)
+    val commands =
+        listOf(
+            EntryCommand(),
+            SidecarCommand(),
+            WorkspaceCommand(),
+            UpstreamsCommand(),
+            StateCommand(),
+            ReportCommand(),
+            VersionCommand(),
+        )
+    parser.subcommands(*(commands + listings).toTypedArray())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
-
-private fun <T> loadOrExit(files: String, serializer: KSerializer<T>): T =
-    when (val loaded = SettingsLoader.load(files.split(',').map { Path.of(it) }, serializer)) {
-        is Either.Right -> loaded.value
-        is Either.Left -> {
-            System.err.println(loaded.value.detail)
-            exitProcess(EXIT_SETTINGS)
-        }
-    }
--- /dev/null
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/KeyCommands.kt
@@ -0,0 +1,79 @@
+package org.medlarhook.cli.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.serialization.json.Json
+import org.medlarhook.cli.ExitCode
+import org.medlarhook.runtime.operators.api.InForceAnswer
+import org.medlarhook.runtime.operators.api.KeyAnswer
+import org.medlarhook.runtime.operators.api.KeyRequest
+import org.medlarhook.runtime.operators.api.KeysAnswer
+import kotlin.system.exitProcess
+
+/** The commands about keys. */
+internal fun keyCommand(): CommandGroup =
+    CommandGroup("key", "Grants, withdraws and lists keys", KeyGrantCommand(), KeyWithdrawCommand(), KeyListCommand())
+
+@OptIn(ExperimentalCli::class)
+private class KeyGrantCommand : OperatorsCommand("grant", "Grants a new key; it is shown this once") {
+    private val workspace by option(ArgType.String, "workspace", description = "The key's workspace").required()
+    private val author by option(ArgType.String, "author", description = "Who makes the change").required()
+
+    override fun execute() {
+        val answer = client.grantKey(KeyRequest(workspace, author)).orExit()
+        print(Json.encodeToString(KeyAnswer.serializer(), answer)) {
+            "id ${answer.keyId}\nkey ${answer.key}\nversion ${answer.version}"
+        }
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class KeyWithdrawCommand : OperatorsCommand("withdraw", "Withdraws a key and waits until it is in force") {
+    private val id by option(ArgType.String, "id", description = "The key's id").required()
+    private val author by option(ArgType.String, "author", description = "Who makes the change").required()
+    private val timeoutMs by option(
+        ArgType.Int,
+        "timeout-ms",
+        description = "How long to wait",
+    ).default(DEFAULT_TIMEOUT_MS)
+
+    override fun execute() {
+        val version = client.withdrawKey(id, author).orExit().version
+        val answer = awaitInForce(version)
+        print(Json.encodeToString(InForceAnswer.serializer(), answer)) {
+            if (answer.inForce) "version $version in force" else "version $version waits for ${answer.waitingFor.joinToString()}"
+        }
+        if (!answer.inForce) exitProcess(ExitCode.FAILED.status)
+    }
+
+    private fun awaitInForce(version: Long): InForceAnswer {
+        val endNanos = System.nanoTime() + timeoutMs * NANOS_PER_MS
+        while (true) {
+            val answer = client.inForce(version).orExit()
+            if (answer.inForce || System.nanoTime() > endNanos) return answer
+            Thread.sleep(POLL_MS)
+        }
+    }
+
+    private companion object {
+        const val DEFAULT_TIMEOUT_MS = 15_000
+        const val POLL_MS = 200L
+        const val NANOS_PER_MS = 1_000_000L
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class KeyListCommand : OperatorsCommand("list", "Lists keys by id; secrets are kept nowhere") {
+    private val workspace by option(ArgType.String, "workspace", description = "Only keys of this workspace")
+
+    override fun execute() {
+        val answer = client.keys(workspace).orExit()
+        print(Json.encodeToString(KeysAnswer.serializer(), answer)) {
+            answer.keys.joinToString("\n") {
+                "${it.keyId} ${it.workspace} ${if (it.withdrawn) "withdrawn" else "granted"}"
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/OperatorsCommand.kt
@@ -0,0 +1,30 @@
+package org.medlarhook.cli.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.medlarhook.cli.client.OperatorsClient
+
+/** A command that calls the operators' listener of an entry. */
+@OptIn(ExperimentalCli::class)
+internal abstract class OperatorsCommand(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    private val entry by option(ArgType.String, "entry", description = "URL of an entry's operators' listener")
+        .required()
+
+    private val output by option(ArgType.Choice<OutputFormat>(), "output", description = "Form of the answer")
+        .default(OutputFormat.TEXT)
+
+    /** The client for the entry. */
+    protected val client: OperatorsClient
+        get() = OperatorsClient(entry)
+
+    /** Prints [json] or [text], as asked for. */
+    protected fun print(json: String, text: () -> String) {
+        println(if (output == OutputFormat.JSON) json else text())
+    }
+}
--- /dev/null
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/RoleCommands.kt
@@ -0,0 +1,60 @@
+package org.medlarhook.cli.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.required
+import kotlinx.serialization.KSerializer
+import org.medlarhook.entry.Entry
+import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.settings.SettingsLoader
+import org.medlarhook.runtime.settings.SidecarSettings
+import org.medlarhook.sidecar.Sidecar
+import java.nio.file.Path
+
+private const val SETTINGS_HELP = "Base file and overlays, by commas"
+
+/** Runs an entry until the process is stopped. */
+@OptIn(ExperimentalCli::class)
+internal class EntryCommand : Subcommand("entry", "Runs an entry") {
+    private val settings by option(ArgType.String, "settings", description = SETTINGS_HELP).required()
+
+    override fun execute() {
+        Entry(loadSettings(settings, EntrySettings.serializer())).run()
+    }
+}
+
+/** Runs a sidecar until the process is stopped. */
+@OptIn(ExperimentalCli::class)
+internal class SidecarCommand : Subcommand("sidecar", "Runs the sidecar of one upstream") {
+    private val settings by option(ArgType.String, "settings", description = SETTINGS_HELP).required()
+
+    override fun execute() {
+        Sidecar(loadSettings(settings, SidecarSettings.serializer())).run()
+    }
+}
+
+/** The commands about the settings of processes. */
+internal fun settingsCommand(): CommandGroup =
+    CommandGroup(
+        "settings",
+        "Checks the settings of processes",
+        SettingsCheckCommand("check-entry", EntrySettings.serializer()),
+        SettingsCheckCommand("check-sidecar", SidecarSettings.serializer()),
+    )
+
+@OptIn(ExperimentalCli::class)
+private class SettingsCheckCommand<T>(
+    name: String,
+    private val serializer: KSerializer<T>,
+) : Subcommand(name, "Checks settings without starting anything") {
+    private val settings by option(ArgType.String, "settings", description = SETTINGS_HELP).required()
+
+    override fun execute() {
+        loadSettings(settings, serializer)
+        println("ok")
+    }
+}
+
+private fun <T> loadSettings(files: String, serializer: KSerializer<T>): T =
+    SettingsLoader.load(files.split(',').map { Path.of(it) }, serializer).orExitInvalid()
--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -3,10 +3,16 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import org.medlarhook.core.directory.DirectoryLog
+import org.medlarhook.core.directory.DirectoryReader
 import org.medlarhook.entry.directory.PolledDirectory
 import org.medlarhook.entry.http.CallersListener
 import org.medlarhook.entry.http.ChatHandler
 import org.medlarhook.entry.http.ServiceHandler
+import org.medlarhook.entry.operators.ConfigService
+import org.medlarhook.entry.operators.CurrentDirectory
+import org.medlarhook.entry.operators.InForceView
+import org.medlarhook.entry.operators.OperatorsRoutes
 import org.medlarhook.entry.routing.LeastOutstandingChooser
 import org.medlarhook.entry.upstream.UpstreamPool
 import org.medlarhook.platform.SystemTimeSource
@@ -14,6 +20,8 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.operators.OperatorsListener
 import org.medlarhook.runtime.operators.StateDump
+import org.medlarhook.runtime.operators.api.InForceAnswer
+import org.medlarhook.runtime.platform.HttpPlatform
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.EntrySettings
@@ -26,8 +34,10 @@
 public class Entry(
     private val settings: EntrySettings,
 ) {
-    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
-    private val directory = PolledDirectory(tables)
+    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
+    private val tables = HttpTableService(platform)
+    private val reader = DirectoryReader(tables, HttpPlatform(platform))
+    private val directory = PolledDirectory(reader)
     private val pool = UpstreamPool(tables)
     private val scheduler = Executors.newScheduledThreadPool(2)
 
@@ -38,12 +48,25 @@
         val chat = ChatHandler(directory, pool, LeastOutstandingChooser)
         val services = ServiceHandler(pool, LeastOutstandingChooser)
         val callers = CallersListener(settings, SystemTimeSource, directory, chat, services)
-        val operators = OperatorsListener(settings.operators, SystemTimeSource, { directory.version > 0 }, dumps())
+        val operators =
+            OperatorsListener(
+                address = settings.operators,
+                time = SystemTimeSource,
+                isReady = { directory.version > 0 },
+                dumps = dumps(),
+                routes = operatorsRoutes()::register,
+            )
         operators.start()
         callers.start()
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
 
+    private fun operatorsRoutes(): OperatorsRoutes {
+        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader))
+        val inForce = InForceView { version, _ -> InForceAnswer(version, directory.version >= version, emptyList()) }
+        return OperatorsRoutes(config, inForce, SystemTimeSource)
+    }
+
     private fun dumps(): Map<String, StateDump> =
         mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) })
 
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/ConfigService.kt
@@ -0,0 +1,134 @@
+package org.medlarhook.entry.operators
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import org.medlarhook.core.directory.AppendFailure
+import org.medlarhook.core.directory.ChangeValidator
+import org.medlarhook.core.directory.DirectoryChange
+import org.medlarhook.core.directory.DirectoryLog
+import org.medlarhook.core.directory.DirectoryState
+import org.medlarhook.core.key.KeyIssuer
+import org.medlarhook.core.result.ResultCode
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.runtime.operators.api.ChangeRequest
+import org.medlarhook.runtime.operators.api.KeyAnswer
+import org.medlarhook.runtime.operators.api.KeyRequest
+import java.util.UUID
+
+/** Carries out operators' changes of the directory. */
+internal class ConfigService(
+    private val log: DirectoryLog,
+    private val current: CurrentDirectory,
+    private val keys: KeyIssuer = KeyIssuer(),
+) {
+    /** Returns the newest state. */
+    fun state(): Either<OperatorsFailure, DirectoryState> = current.refresh().mapLeft { it.toFailure() }
+
+    /** Returns the newest [limit] changes. */
+    fun history(limit: Int): Either<OperatorsFailure, List<DirectoryChange>> =
+        log.history(limit).mapLeft { it.toFailure() }
+
+    /** Checks [request] and appends it at [nowMs] (wall clock, for people). */
+    fun change(request: ChangeRequest, nowMs: Long): Either<OperatorsFailure, Long> =
+        state().flatMap { state ->
+            val change = request.toChange(nowMs)
+            val errors = if (state.version ==
+                request.baseVersion
+            ) {
+                ChangeValidator.validate(state, change)
+            } else {
+                emptyList()
+            }
+            if (errors.isNotEmpty()) {
+                OperatorsFailure(ResultCode.CONFIG_INVALID, errors = errors.map { "$it" }).left()
+            } else {
+                append(change)
+            }
+        }
+
+    /** Grants a new key; a change that another operator makes meanwhile is no obstacle. */
+    fun grantKey(request: KeyRequest, nowMs: Long): Either<OperatorsFailure, KeyAnswer> {
+        val issued = keys.issue(request.workspace)
+        val nonce = UUID.randomUUID().toString()
+        return repeating { state ->
+            change(
+                ChangeRequest(
+                    baseVersion = state.version,
+                    author = request.author,
+                    comment = "grant key ${issued.grant.name}",
+                    puts = listOf(issued.grant),
+                    nonce = nonce,
+                ),
+                nowMs,
+            )
+        }.map { KeyAnswer(issued.grant.name, issued.text, it) }
+    }
+
+    /** Withdraws a key for good and returns the version that does so. */
+    fun withdrawKey(keyId: String, author: String, nowMs: Long): Either<OperatorsFailure, Long> {
+        val nonce = UUID.randomUUID().toString()
+        return repeating { state ->
+            val grant = state.keys[keyId]
+            when {
+                grant == null -> OperatorsFailure(ResultCode.NOT_FOUND, "no key $keyId").left()
+                grant.withdrawn -> state.version.right()
+                else ->
+                    change(
+                        ChangeRequest(
+                            baseVersion = state.version,
+                            author = author,
+                            comment = "withdraw key $keyId",
+                            puts = listOf(grant.copy(withdrawn = true)),
+                            nonce = nonce,
+                        ),
+                        nowMs,
+                    )
+            }
+        }
+    }
+
+    private fun repeating(
+        attempt: (DirectoryState) -> Either<OperatorsFailure, Long>,
+    ): Either<OperatorsFailure, Long> {
+        var result = state().flatMap(attempt)
+        repeat(MAX_RACES) {
+            val isRace = result.leftOrNull()?.code == ResultCode.CONFIG_CONFLICT
+            if (!isRace) return result
+            result = state().flatMap(attempt)
+        }
+        return result
+    }
+
+    private fun append(change: DirectoryChange): Either<OperatorsFailure, Long> =
+        log.append(change).mapLeft { failure ->
+            when (failure) {
+                is AppendFailure.Conflict ->
+                    OperatorsFailure(
+                        ResultCode.CONFIG_CONFLICT,
+                        "the directory is at version ${failure.headVersion}",
+                        changes = failure.changes,
+                    )
+                is AppendFailure.Unavailable -> OperatorsFailure(ResultCode.PLATFORM_UNAVAILABLE, failure.detail)
+                is AppendFailure.OutcomeUnknown -> OperatorsFailure(ResultCode.PLATFORM_OUTCOME_UNKNOWN, failure.detail)
+            }
+        }
+
+    private fun ChangeRequest.toChange(nowMs: Long) =
+        DirectoryChange(
+            version = baseVersion + 1,
+            author = author,
+            acceptedAtMs = nowMs,
+            comment = comment,
+            puts = puts,
+            deletes = deletes,
+            nonce = nonce,
+        )
+
+    private fun TableFailure.toFailure() = OperatorsFailure(ResultCode.PLATFORM_UNAVAILABLE, "$this")
+
+    private companion object {
+        const val MAX_RACES = 5
+    }
+}
--- a/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
@@ -1,13 +1,13 @@
 package org.medlarhook.harness.demo
 
-import org.medlarhook.harness.DirectorySeed
 import org.medlarhook.harness.Fleet
+import org.medlarhook.harness.OperatorsCli
 import org.medlarhook.harness.Readiness
 
 /** The steps of the demonstration. Each throws if what it shows does not hold. */
 internal class DemoSteps(
     private val fleet: Fleet,
-    private val seed: DirectorySeed,
+    private val operators: OperatorsCli,
     private val key: String,
 ) {
     private val caller = Caller()
@@ -17,7 +17,7 @@
     /** True once a small request is served through every entry. */
     fun isServing(): Boolean =
         fleet.entries.all { caller.chat(it.url, key, "hello", maxTokens = 1).status == HTTP_OK } &&
-            fleet.entries.all { caller.get("${it.url}/services/${Demo.SERVICE}/standings", null).status == HTTP_OK }
+            fleet.entries.all { caller.get("${it.url}/services/${Demo.SERVICE}/healthz", null).status == HTTP_OK }
 
     /** Runs all steps and prints the outcome of each. */
     fun runAll(): Boolean {
@@ -51,17 +51,19 @@
     }
 
     private fun openRoute() {
-        val answer = caller.get("$second/services/${Demo.SERVICE}/standings", null)
+        val answer = caller.get("$second/services/${Demo.SERVICE}/healthz", null)
         check(answer.status == HTTP_OK) { answer.toString() }
     }
 
     private fun withdrawnKey() {
-        val extra = "mh_extra.another-secret"
-        seed.put(seed.grant(extra, Demo.WORKSPACE))
-        Readiness.until("the new key does not work") { caller.models(first, extra).status == HTTP_OK }
-        seed.put(seed.grant(extra, Demo.WORKSPACE, withdrawn = true))
+        val extra = operators.grantKey(Demo.WORKSPACE)
+        Readiness.until("the new key does not work") {
+            fleet.entries.all { caller.models(it.url, extra.key).status == HTTP_OK }
+        }
+        val outcome = operators.withdrawKey(extra.keyId)
+        check(outcome.status == 0) { outcome.output }
         Readiness.until("the withdrawn key still works", WITHDRAWAL_LIMIT_MS) {
-            fleet.entries.all { caller.models(it.url, extra).status == HTTP_UNAUTHORIZED }
+            fleet.entries.all { caller.models(it.url, extra.key).status == HTTP_UNAUTHORIZED }
         }
     }
 
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
@@ -1,18 +1,22 @@
 package org.medlarhook.runtime.operators
 
 import io.javalin.Javalin
+import io.javalin.config.RoutesConfig
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.serialization.json.JsonObject
 import org.medlarhook.platform.TimeSource
 import org.medlarhook.runtime.settings.ListenAddress
 
-/** The operators' listener: `/metrics` for Prometheus, `/state` as JSON, `/healthz` and `/readyz`. */
+/**
+ * The operators' listener: `/metrics` for Prometheus, `/state` as JSON, `/healthz` and `/readyz`, and what [routes] adds.
+ */
 public class OperatorsListener(
     private val address: ListenAddress,
     private val time: TimeSource,
     private val isReady: () -> Boolean,
     private val dumps: Map<String, StateDump>,
+    private val routes: (RoutesConfig) -> Unit = {},
 ) {
     /** The registry of all metrics of the process. */
     public val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
@@ -24,6 +28,7 @@
             config.routes.get("/state") { it.contentType("application/json").result(state().toString()) }
             config.routes.get("/healthz") { it.result("ok") }
             config.routes.get("/readyz") { it.status(if (isReady()) HTTP_OK else HTTP_UNAVAILABLE) }
+            routes(config.routes)
         }
 
     /** Opens the listener. */
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
@@ -20,10 +20,10 @@
     UsageReporting,
     VmDirectory {
     override fun put(name: String, content: ByteArray): Either<TableFailure, Unit> =
-        http.put(http.url("objects", name), content).map { }
+        http.put(objectUrl(name), content).map { }
 
     override fun get(name: String): Either<TableFailure, ByteArray?> =
-        http.get(http.url("objects", name)).map { if (it.status == PlatformHttp.HTTP_OK) it.body else null }
+        http.get(objectUrl(name)).map { if (it.status == PlatformHttp.HTTP_OK) it.body else null }
 
     override fun order(order: UpstreamOrder): Either<TableFailure, Unit> =
         http.post(http.url("upstream-orders"), JSON.encodeToString(UpstreamOrder.serializer(), order)).map { }
@@ -34,6 +34,8 @@
     override fun list(): Either<TableFailure, List<ListedVm>> =
         http.get(http.url("vms")).map { JSON.decodeFromString(ListSerializer(ListedVm.serializer()), it.text()) }
 
+    private fun objectUrl(name: String) = http.url("objects/$name")
+
     private companion object {
         val JSON = Json { ignoreUnknownKeys = true }
     }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpTableService.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpTableService.kt
@@ -19,7 +19,7 @@
 ) : TableService {
     override fun read(key: RowKey): Either<TableFailure, Row?> =
         http
-            .post(http.url("tables", "read"), JSON.encodeToString(RowKey.serializer(), key))
+            .post(http.url("tables/read"), JSON.encodeToString(RowKey.serializer(), key))
             .map { JSON.decodeFromString(ReadAnswer.serializer(), it.text()).row }
             .asRead()
 
@@ -31,14 +31,14 @@
     ): Either<TableFailure, List<Row>> {
         val request = ScanRequest(table, prefix, afterKey, limit)
         return http
-            .post(http.url("tables", "scan"), JSON.encodeToString(ScanRequest.serializer(), request))
+            .post(http.url("tables/scan"), JSON.encodeToString(ScanRequest.serializer(), request))
             .map { JSON.decodeFromString(RowsAnswer.serializer(), it.text()).rows }
             .asRead()
     }
 
     override fun transact(transaction: Transaction): Either<TableFailure, Committed> =
         http
-            .post(http.url("tables", "transact"), JSON.encodeToString(Transaction.serializer(), transaction))
+            .post(http.url("tables/transact"), JSON.encodeToString(Transaction.serializer(), transaction))
             .flatMap { answer ->
                 if (answer.status == PlatformHttp.HTTP_CONFLICT) {
                     TableFailure.Conflict(JSON.decodeFromString(RowsAnswer.serializer(), answer.text()).rows).left()
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
@@ -18,12 +18,13 @@
 /**
  * HTTP access to the platform's services. OkHttp's own retries and redirects are off: a call is sent at most once.
  *
- * @property baseUrl the platform's address, such as `http://127.0.0.1:7000`.
+ * @param baseUrl the platform's address, such as `http://127.0.0.1:7000`.
  */
 public class PlatformHttp(
-    private val baseUrl: String,
+    baseUrl: String,
     callTimeoutMs: Long,
 ) {
+    private val base = baseUrl.toHttpUrl()
     private val client =
         OkHttpClient
             .Builder()
@@ -32,9 +33,8 @@
             .callTimeout(Duration.ofMillis(callTimeoutMs))
             .build()
 
-    /** The URL of [segments] under the base address. */
-    internal fun url(vararg segments: String): HttpUrl =
-        segments.fold(baseUrl.toHttpUrl().newBuilder()) { builder, segment -> builder.addPathSegment(segment) }.build()
+    /** The URL of [path], segments by slashes, under the base address. */
+    internal fun url(path: String): HttpUrl = base.newBuilder().addPathSegments(path).build()
 
     /** Sends a JSON body by POST. */
     internal fun post(url: HttpUrl, json: String): Either<TableFailure, PlatformAnswer> =
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/SettingsLoader.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/SettingsLoader.kt
@@ -1,6 +1,8 @@
 package org.medlarhook.runtime.settings
 
 import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -11,23 +13,31 @@
 import java.nio.file.Path
 import kotlin.io.path.readText
 
-/** Reads settings from one base file and overlays, merged in order as JSON merge patches. Unknown names are errors. */
+/**
+ * Reads settings from one base file and overlays, merged in order as JSON merge patches. Unknown names are errors,
+ * and all errors are found at once.
+ */
 public object SettingsLoader {
-    private val JSON = Json { ignoreUnknownKeys = false }
-
-    /** Reads and merges [files]; the error names what is wrong. */
-    public fun <T> load(files: List<Path>, serializer: KSerializer<T>): Either<SettingsError, T> =
-        Either
-            .catch {
-                val merged = files.map { JSON.parseToJsonElement(it.readText()) }.reduce(::mergePatch)
-                JSON.decodeFromJsonElement(serializer, merged)
-            }.mapLeft { cause ->
-                when (cause) {
-                    is IOException -> SettingsError("can't read ${cause.message}")
-                    is SerializationException -> SettingsError(cause.message.orEmpty())
-                    else -> throw cause
-                }
-            }
+    /** Reads, checks and merges [files]. */
+    public fun <T> load(files: List<Path>, serializer: KSerializer<T>): Either<List<SettingsError>, T> {
+        val parsed = files.map { file -> file to parse(file) }
+        val unreadable = parsed.mapNotNull { (_, result) -> result.leftOrNull() }
+        if (unreadable.isNotEmpty()) return unreadable.left()
+        val elements = parsed.mapNotNull { (file, result) -> result.getOrNull()?.let { file to it } }
+        val errors = shapeErrors(elements, serializer)
+        if (errors.isNotEmpty()) return errors.left()
+        return decode(elements.map { it.second }.reduce(::mergePatch), names(files), serializer)
+    }
+
+    /** Reads one file as JSON. */
+    public fun parse(file: Path): Either<SettingsError, JsonElement> =
+        try {
+            Json.parseToJsonElement(file.readText()).right()
+        } catch (e: IOException) {
+            SettingsError("$file", "", "can't be read (${e.javaClass.simpleName})").left()
+        } catch (e: SerializationException) {
+            SettingsError("$file", "", e.message.orEmpty().lineSequence().first(), "JSON").left()
+        }
 
     /** Applies [patch] to [target] by the rules of JSON merge patch: null removes, objects merge, the rest replaces. */
     public fun mergePatch(target: JsonElement, patch: JsonElement): JsonElement {
@@ -42,4 +52,32 @@
         }
         return JsonObject(merged)
     }
+
+    private fun <T> shapeErrors(
+        elements: List<Pair<Path, JsonElement>>,
+        serializer: KSerializer<T>,
+    ): List<SettingsError> {
+        val ofFiles =
+            elements.flatMap { (file, element) ->
+                ShapeChecker.check(element, serializer.descriptor, isPartial = true).map { it.inFile("$file") }
+            }
+        if (ofFiles.isNotEmpty()) return ofFiles
+        val merged = elements.map { it.second }.reduce(::mergePatch)
+        return ShapeChecker.check(merged, serializer.descriptor).map { it.inFile(names(elements.map { e -> e.first })) }
+    }
+
+    private fun ShapeError.inFile(file: String) = SettingsError(file, path, found, allowed)
+
+    private fun names(files: List<Path>) = files.joinToString(" + ")
+
+    private fun <T> decode(
+        element: JsonElement,
+        file: String,
+        serializer: KSerializer<T>,
+    ): Either<List<SettingsError>, T> =
+        try {
+            Json.decodeFromJsonElement(serializer, element).right()
+        } catch (e: IllegalArgumentException) {
+            listOf(SettingsError(file, "", e.message.orEmpty().lineSequence().first())).left()
+        }
 }
--- a/standins/src/main/kotlin/org/medlarhook/standins/platform/PlatformServer.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/platform/PlatformServer.kt
@@ -35,10 +35,10 @@
                 config.routes.post("/tables/read") { it.faulty(::read) }
                 config.routes.post("/tables/scan") { it.faulty(::scan) }
                 config.routes.post("/tables/transact") { it.faulty(::transact) }
-                config.routes.put("/objects/{name}") { context ->
+                config.routes.put("/objects/<name>") { context ->
                     context.faulty { objects[it.pathParam("name")] = it.bodyAsBytes() }
                 }
-                config.routes.get("/objects/{name}") { it.faulty(::getObject) }
+                config.routes.get("/objects/<name>") { it.faulty(::getObject) }
                 config.routes.post("/upstream-orders") { it.faulty(::acceptOrder) }
                 config.routes.get("/upstream-orders") {
                     it.json(ListSerializer(UpstreamOrder.serializer()), orders.values.toList())
