Decide routing, admission, limits, retries, roles and spending by pure functions

Ruled out: agreement or a write per request for limits over entries (shares taken as the smaller of two rounds add up to the limit while rounds differ by one); round-based subsets by index of the entry (one replaced entry moves all later subsets); undamped trend in the mix forecast (6 changes where 4 suffice). Change: packages routing, admission, limit, retry, role and spending, with round robin, least outstanding, two choices, admit all, equal shares, static roles and static spending as baselines.

--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/limit/EqualShares.kt
@@ -0,0 +1,12 @@
+package org.medlarhook.core.limit
+
+/** Baseline: every entry holds the same share. */
+public object EqualShares : ShareAllocator {
+    override fun sharePerS(
+        entryId: String,
+        limitPerS: Double,
+        newest: DemandTable?,
+        previous: DemandTable?,
+        entryCount: Int,
+    ): Double = limitPerS / entryCount.coerceAtLeast(1)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/role/RolePolicy.kt
@@ -0,0 +1,7 @@
+package org.medlarhook.core.role
+
+/** Decides which upstreams take another role. */
+public interface RolePolicy {
+    /** Plans at [nowMs] from [forecast], the state that the last plan returned. */
+    public fun plan(observation: RoleObservation, forecast: MixForecast, nowMs: Long): RolePlan
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/role/StaticRoles.kt
@@ -0,0 +1,7 @@
+package org.medlarhook.core.role
+
+/** Baseline: roles stay as they are. */
+public object StaticRoles : RolePolicy {
+    override fun plan(observation: RoleObservation, forecast: MixForecast, nowMs: Long): RolePlan =
+        RolePlan(emptyList(), forecast)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/routing/RoundRobinPolicy.kt
@@ -0,0 +1,22 @@
+package org.medlarhook.core.routing
+
+import java.util.concurrent.atomic.AtomicInteger
+
+/** Baseline: takes the eligible candidates in turn. */
+public class RoundRobinPolicy : RoutingPolicy {
+    private val turn = AtomicInteger()
+
+    override fun choose(
+        request: RouteRequest,
+        candidates: List<Candidate>,
+        nowMs: Long,
+    ): RouteDecision {
+        val eligible = eligible(request, candidates)
+        if (eligible.isEmpty()) return RouteDecision.NoUpstream
+        return eligible[Math.floorMod(turn.getAndIncrement(), eligible.size)].chosenFor(request, nowMs)
+    }
+}
+
+/** The decision for this candidate with a prediction that expects nothing in the cache. */
+internal fun Candidate.chosenFor(request: RouteRequest, nowMs: Long): RouteDecision.Chosen =
+    RouteDecision.Chosen(upstreamId, FinishPredictor.predict(request, this, cachedTokens = 0, nowMs))
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/role/RolePlannerFuzz.kt
@@ -0,0 +1,54 @@
+package org.medlarhook.core.role
+
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.IntRange
+import net.jqwik.api.constraints.LongRange
+import org.medlarhook.core.routing.WorkTokens
+import kotlin.random.Random
+import kotlin.test.assertTrue
+
+private const val STEP_MS = 1_000L
+private const val STEPS = 300
+
+class RolePlannerFuzz {
+    private val settings = RoleSettings()
+
+    @Property(seed = "51", tries = 100)
+    fun `Given any demand, then dwell, the last of a role, moves at once and old data are respected`(
+        @ForAll @IntRange(min = 2, max = 12) fleet: Int,
+        @ForAll @LongRange(min = 1) seed: Long,
+    ) {
+        val random = Random(seed)
+        val planner = RolePlanner(settings)
+        var holders = (1..fleet).map { holder("u$it", if (it == 1) UpstreamRole.PREFILL else UpstreamRole.DECODE, 0) }
+        var forecast = MixForecast()
+        var share = 0.5
+        for (nowMs in STEP_MS..STEP_MS * STEPS step STEP_MS) {
+            if (random.nextInt(40) == 0) share = random.nextDouble()
+            holders = holders.map { if (it.changing && random.nextInt(4) == 0) it.copy(changing = false) else it }
+            val ageMs = if (random.nextInt(5) == 0) settings.maxAgeMs + 1 else 0
+            val demand = WorkTokens((share * 10_000).toLong(), ((1 - share) * 1_000).toLong())
+            val plan = planner.plan(RoleObservation(holders, demand, 10_000.0, 1_000.0, nowMs - ageMs), forecast, nowMs)
+            assertTrue(ageMs == 0L || plan.changes.isEmpty(), "changed on old data")
+            val left = plan.changes.map { change -> holders.first { it.upstreamId == change.upstreamId }.role }
+            holders = applied(plan, holders, nowMs)
+            assertTrue(left.all { role -> holders.any { it.role == role && !it.changing } }, "the last of a role left")
+            forecast = plan.forecast
+            assertTrue(holders.count { it.changing } <= settings.maxMoving)
+        }
+    }
+
+    private fun applied(plan: RolePlan, holders: List<RoleHolder>, nowMs: Long): List<RoleHolder> {
+        val orders = plan.changes.associate { it.upstreamId to it.to }
+        return holders.map { before ->
+            val to = orders[before.upstreamId] ?: return@map before
+            assertTrue(to != before.role && !before.changing)
+            assertTrue(nowMs - before.sinceMs >= settings.minDwellMs, "moved before its dwell")
+            RoleHolder(before.upstreamId, to, nowMs, changing = true)
+        }
+    }
+
+    private fun holder(upstreamId: String, role: UpstreamRole, sinceMs: Long) =
+        RoleHolder(upstreamId, role, sinceMs)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/role/RolePlannerTest.kt
@@ -0,0 +1,41 @@
+package org.medlarhook.core.role
+
+import org.junit.jupiter.api.Nested
+import org.medlarhook.core.routing.WorkTokens
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class RolePlannerTest {
+    private val planner = RolePlanner(RoleSettings(minDwellMs = 10_000))
+
+    /** Lets 200 s pass with the prefill share of each second and counts the changes. */
+    private fun changes(prefill: Int, decode: Int, shareAt: (Int) -> Double): Int {
+        var holders = List(prefill) { RoleHolder("p$it", UpstreamRole.PREFILL, 0) } +
+            List(decode) { RoleHolder("d$it", UpstreamRole.DECODE, 0) }
+        var forecast = MixForecast()
+        var count = 0
+        for (second in 1..200) {
+            val nowMs = second * 1_000L
+            val demand = WorkTokens((shareAt(second) * 1_000).toLong(), ((1 - shareAt(second)) * 1_000).toLong())
+            val plan = planner.plan(RoleObservation(holders, demand, 1_000.0, 1_000.0, nowMs), forecast, nowMs)
+            forecast = plan.forecast
+            count += plan.changes.size
+            val orders = plan.changes.associate { it.upstreamId to it.to }
+            holders = holders.map { orders[it.upstreamId]?.let { to -> RoleHolder(it.upstreamId, to, nowMs) } ?: it }
+        }
+        return count
+    }
+
+    @Nested
+    inner class Plan {
+        @Test
+        fun `Given a lasting swing, then roles follow it and stay`() {
+            assertEquals(4, changes(prefill = 6, decode = 2) { if (it < 60) 0.75 else 0.25 })
+        }
+
+        @Test
+        fun `Given a mix that flickers around the boundary, then nothing changes`() {
+            assertEquals(0, changes(prefill = 4, decode = 4) { if (it % 4 < 2) 0.45 else 0.55 })
+        }
+    }
+}
