Tell a fair queue's work ahead of a new request

Cause: admission at the sidecar needs what the fair queue serves first, not the whole queue. Ruled out: counting all queued work (refuses the small workspaces for a large one's backlog). Change: tokensAhead on the queues; QueueState takes the time ahead. Conclusion: Retry-After and admission follow the queue's order.

--- a/core/src/main/kotlin/org/medlarhook/core/admission/QueueFinish.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/admission/QueueFinish.kt
@@ -9,16 +9,13 @@
     public fun predict(work: WorkTokens, state: QueueState, nowMs: Long): FinishPrediction {
         val speed = state.speed
         val unloadedMs = nowMs + speed.prefillMs(work.prefillTokens) + speed.decodeMs(work.decodeTokens)
-        val prefillAhead = state.runningWork.prefillTokens + state.fairAhead.prefillTokens
-        val waitMs = speed.prefillMs(prefillAhead) + slotWaitMs(state)
+        val waitMs = state.queuedAheadMs + speed.prefillMs(state.runningWork.prefillTokens) + slotWaitMs(state)
         return FinishPrediction((unloadedMs + waitMs).toLong(), unloadedMs.toLong())
     }
 
+    /** The time until the first running request ends, if all slots are taken. */
     private fun slotWaitMs(state: QueueState): Double {
-        val requests = state.running + state.requestsAhead
-        val waiting = requests + 1 - state.speed.slots
-        if (waiting <= 0) return 0.0
-        val ahead = state.runningWork.decodeTokens + state.fairAhead.decodeTokens
-        return state.speed.batchDecodeMs(ahead) * waiting / requests.coerceAtLeast(1)
+        if (state.running < state.speed.slots) return 0.0
+        return state.speed.batchDecodeMs(state.runningWork.decodeTokens / state.running)
     }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/admission/QueueState.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/admission/QueueState.kt
@@ -7,13 +7,11 @@
  * What a sidecar knows of its upstream.
  *
  * @property running requests that the engine holds, with [runningWork] left to do.
- * @property fairAhead queued work that the fair queue will serve before a new request of the workspace.
- * @property requestsAhead the number of those requests.
+ * @property queuedAheadMs time that the queue takes to serve what goes before a new request of the workspace.
  */
 public data class QueueState(
     val running: Int,
     val runningWork: WorkTokens,
-    val fairAhead: WorkTokens,
-    val requestsAhead: Int,
+    val queuedAheadMs: Double,
     val speed: EngineSpeed,
 )
--- a/core/src/main/kotlin/org/medlarhook/core/fairness/FairQueue.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/fairness/FairQueue.kt
@@ -28,6 +28,14 @@
 
     override fun queuedTokens(workspace: String): Long = flowByWorkspace[workspace]?.queuedTokens ?: 0
 
+    override fun tokensAhead(workspace: String, weight: Int, costTokens: Long): Long {
+        val ownBacklog = (queuedTokens(workspace) + costTokens).toDouble() / weight
+        return activeFlows.sumOf { flow ->
+            val others = minOf(flow.queuedTokens, (ownBacklog * flow.weight).toLong())
+            if (flow.workspace == workspace) flow.queuedTokens else others
+        }
+    }
+
     override fun offer(
         workspace: String,
         weight: Int,
--- a/core/src/main/kotlin/org/medlarhook/core/fairness/FifoQueue.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/fairness/FifoQueue.kt
@@ -14,6 +14,8 @@
     override fun queuedTokens(workspace: String): Long =
         itemByTicket.values.filter { it.workspace == workspace }.sumOf { it.costTokens }
 
+    override fun tokensAhead(workspace: String, weight: Int, costTokens: Long): Long = queuedTokens
+
     override fun offer(
         workspace: String,
         weight: Int,
--- a/core/src/main/kotlin/org/medlarhook/core/fairness/RequestQueue.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/fairness/RequestQueue.kt
@@ -16,6 +16,9 @@
     /** The summed cost of the items of [workspace]. */
     public fun queuedTokens(workspace: String): Long
 
+    /** The summed cost that is served before a new item of [costTokens] of [workspace], if nothing else comes. */
+    public fun tokensAhead(workspace: String, weight: Int, costTokens: Long): Long
+
     /** Adds [item]; of the items of one workspace a higher [priority] and then an earlier deadline goes first. */
     public fun offer(
         workspace: String,
--- a/core/src/test/kotlin/org/medlarhook/core/admission/DeadlineAdmissionTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/admission/DeadlineAdmissionTest.kt
@@ -40,8 +40,8 @@
             val work = WorkTokens(500, 10)
 
             fun finish(atMs: Long): FinishPrediction {
-                val queued = WorkTokens((4_000 - atMs).coerceAtLeast(0), 0)
-                return QueueFinish.predict(work, QueueState(1, WorkTokens.NONE, queued, 0, speed), atMs)
+                val aheadMs = (4_000.0 - atMs).coerceAtLeast(0.0)
+                return QueueFinish.predict(work, QueueState(1, WorkTokens.NONE, aheadMs, speed), atMs)
             }
             val refused = DeadlineAdmission().decide(finish(0), deadlineMs = 2_000, nowMs = 0)
             val backMs = assertIs<AdmissionDecision.Refuse>(refused).retryAfterMs!!
@@ -51,7 +51,7 @@
 
         @Test
         fun `Given all slots taken, then the wait for a slot counts`() {
-            val free = QueueState(3, WorkTokens(0, 300), WorkTokens.NONE, 0, speed)
+            val free = QueueState(3, WorkTokens(0, 300), 0.0, speed)
             val full = free.copy(running = 4, runningWork = WorkTokens(0, 400))
             val work = WorkTokens(0, 10)
             assertEquals(400, QueueFinish.predict(work, free, 0).finishMs)
--- a/core/src/test/kotlin/org/medlarhook/core/fairness/FairQueueTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/fairness/FairQueueTest.kt
@@ -49,6 +49,17 @@
         }
     }
 
+    @Nested
+    inner class Ahead {
+        @Test
+        fun `Given backlogs, then own backlog and the share of the others are ahead of an item`() {
+            repeat(3) { offer("a$it", "a") }
+            offer("b", "b")
+            assertEquals(10 + 15, queue.tokensAhead("b", weight = 1, costTokens = 5))
+            assertEquals(10, queue.tokensAhead("c", weight = 1, costTokens = 5))
+        }
+    }
+
     @Nested
     inner class Bound {
         @Test
