--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/call/CallRetryBudget.kt
@@ -0,0 +1,7 @@
+package org.medlarhook.core.call
+
+/** Gives out the retries that a process may spend. */
+public fun interface CallRetryBudget {
+    /** Takes one retry at [nowMs]; false if none is left. */
+    public fun tryTake(nowMs: Long): Boolean
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/call/fuzz/BookingTotals.kt
@@ -0,0 +1,27 @@
+package org.medlarhook.core.call.fuzz
+
+/** What the chains of a proof came to, so that an empty proof is noticed. */
+internal class BookingTotals {
+    private var cases = 0
+    var executions = 0
+        private set
+    var answers = 0
+        private set
+    var replays = 0
+        private set
+    var notRun = 0
+        private set
+    private var unknown = 0
+
+    fun add(oracle: BookingOracle, cases: Int) {
+        this.cases += cases
+        executions += oracle.executions
+        answers += oracle.answers
+        replays += oracle.replays
+        notRun += oracle.notRun
+        unknown += oracle.unknown
+    }
+
+    override fun toString() =
+        "chains=$cases executions=$executions answers=$answers replays=$replays notRun=$notRun unknown=$unknown"
+}
