Carry each attempt to one final answer by a pure dispatcher

Cause: the thin sidecar kept attempts in an unbounded map, started each one on arrival, and called a duplicate "not run" although the first delivery may have run.

Ruled out: forgetting old attempts after a time (a message that a link held back longer would run a second time, and a later seal would call a run attempt sealed); a lock for each of table, queue and slots (a seal could fall between them).

Change: core.attempt holds the bounded attempt table (recent states, retained answers, a Bloom filter of older ids that errs only towards "seen"), the scheduler with admission by predicted finish, and the dispatcher that joins both and returns effects. SharedDispatcher is the one lock around them.

Conclusion: a refusal as not run is given only to an attempt that is sealed.

--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptEffect.kt
@@ -0,0 +1,27 @@
+package org.medlarhook.core.attempt
+
+import org.medlarhook.core.result.Failure
+
+/** What the caller of an [AttemptDispatcher] must do. */
+public sealed interface AttemptEffect {
+    /** The attempt concerned. */
+    public val attemptId: String
+
+    /** Send the attempt to the upstream. */
+    public data class Start(
+        val work: AttemptWork,
+    ) : AttemptEffect {
+        override val attemptId: String get() = work.attemptId
+    }
+
+    /** Give the attempt its final answer; it was not sent to the upstream. */
+    public data class Refuse(
+        override val attemptId: String,
+        val failure: Failure,
+    ) : AttemptEffect
+
+    /** Cancel the running call of the upstream. Its end is then reported as usual. */
+    public data class Stop(
+        override val attemptId: String,
+    ) : AttemptEffect
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/attempt/SharedDispatcherTest.kt
@@ -0,0 +1,95 @@
+package org.medlarhook.core.attempt
+
+import org.jetbrains.kotlinx.lincheck.annotations.Operation
+import org.jetbrains.kotlinx.lincheck.annotations.Param
+import org.jetbrains.kotlinx.lincheck.check
+import org.jetbrains.kotlinx.lincheck.paramgen.StringGen
+import org.jetbrains.kotlinx.lincheck.strategy.managed.modelchecking.ModelCheckingOptions
+import org.jetbrains.kotlinx.lincheck.strategy.stress.StressOptions
+import org.medlarhook.core.fairness.FairQueue
+import kotlin.test.Test
+import kotlin.test.assertFails
+
+private fun dispatcher() =
+    AttemptDispatcher<String>(
+        AttemptTable(1, AttemptLimits(maxSettled = 4, maxForgotten = 8, maxAnswers = 2)),
+        AttemptScheduler(1, FairQueue(2), SpeedEstimate(1_000.0, 1_000.0)),
+    )
+
+private fun work(id: String) = AttemptWork(id, "w", 1, 0, 1, 1, deadlineMs = 1_000)
+
+@Param(name = "id", gen = StringGen::class, conf = "1:ab")
+class SharedOperations {
+    private val dispatcher = SharedDispatcher(dispatcher())
+
+    @Operation
+    fun submit(
+        @Param(name = "id") id: String,
+    ): String = dispatcher.submit(work(id), 1, 0).toString()
+
+    @Operation
+    fun finish(
+        @Param(name = "id") id: String,
+    ): String =
+        runCatching { dispatcher.finish(id, id, 1, 0) }.fold({ it.toString() }, { "not running" })
+
+    @Operation
+    fun seal(
+        @Param(name = "id") id: String,
+    ): String = dispatcher.seal(id, 1).toString()
+}
+
+@Param(name = "id", gen = StringGen::class, conf = "1:ab")
+class UnlockedOperations {
+    private val dispatcher = dispatcher()
+
+    @Operation
+    fun submit(
+        @Param(name = "id") id: String,
+    ): String = dispatcher.submit(work(id), 1, 0).toString()
+
+    @Operation
+    fun finish(
+        @Param(name = "id") id: String,
+    ): String =
+        runCatching { dispatcher.finish(id, id, 1, 0) }.fold({ it.toString() }, { "not running" })
+
+    @Operation
+    fun seal(
+        @Param(name = "id") id: String,
+    ): String = dispatcher.seal(id, 1).toString()
+}
+
+class SharedDispatcherTest {
+    @Test
+    fun `Given racing submits, finishes and seals, then each outcome fits one order`() {
+        StressOptions()
+            .iterations(10)
+            .invocationsPerIteration(500)
+            .threads(3)
+            .actorsPerThread(3)
+            .check(SharedOperations::class)
+    }
+
+    @Test
+    fun `Given switches at any point, then each outcome fits one order`() {
+        ModelCheckingOptions()
+            .iterations(6)
+            .invocationsPerIteration(60)
+            .threads(2)
+            .actorsPerThread(2)
+            .check(SharedOperations::class)
+    }
+
+    @Test
+    fun `Given no lock, then the check fails`() {
+        assertFails {
+            ModelCheckingOptions()
+                .iterations(10)
+                .invocationsPerIteration(60)
+                .threads(2)
+                .actorsPerThread(3)
+                .check(UnlockedOperations::class)
+        }
+    }
+}
