--- a/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
@@ -9,7 +9,8 @@
 import org.medlarhook.runtime.settings.ListenAddress
 
 /**
- * The operators' listener: `/metrics` for Prometheus, `/state` as JSON, `/healthz` and `/readyz`, and what [routes] adds.
+ * The operators' listener: `/metrics` for Prometheus, `/state` as JSON, `/healthz` and `/readyz`, and what
+ * [routes] adds.
  */
 public class OperatorsListener(
     private val address: ListenAddress,
