--- a/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
@@ -40,6 +40,6 @@
             ReportCommand(),
             VersionCommand(),
         )
-    parser.subcommands(*(commands + listings).toTypedArray())
+    (commands + listings).forEach { parser.subcommands(it) }
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
--- a/cli/src/main/kotlin/org/medlarhook/cli/command/CommandOutput.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/CallOutcome.kt
@@ -6,12 +6,6 @@
 import org.medlarhook.runtime.settings.SettingsError
 import kotlin.system.exitProcess
 
-/** The forms in which commands print their answers. */
-internal enum class OutputFormat {
-    TEXT,
-    JSON,
-}
-
 /** Returns the value, or prints the failure and ends the program with its exit status. */
 internal fun <T> Either<CallFailure, T>.orExit(): T =
     when (this) {
--- a/cli/src/main/kotlin/org/medlarhook/cli/command/CommandGroup.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/CommandGroup.kt
@@ -20,7 +20,7 @@
     /** Runs the command that [args] name. */
     fun run(program: String, args: Array<String>) {
         val parser = ArgParser("$program $name", prefixStyle = ArgParser.OptionPrefixStyle.GNU)
-        parser.subcommands(*commands)
+        commands.forEach { parser.subcommands(it) }
         parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
     }
 }
--- a/cli/src/main/kotlin/org/medlarhook/cli/command/KeyCommands.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/KeyCommands.kt
@@ -43,7 +43,8 @@
         val version = client.withdrawKey(id, author).orExit().version
         val answer = awaitInForce(version)
         print(Json.encodeToString(InForceAnswer.serializer(), answer)) {
-            if (answer.inForce) "version $version in force" else "version $version waits for ${answer.waitingFor.joinToString()}"
+            val waiting = answer.waitingFor.joinToString()
+            if (answer.inForce) "version $version in force" else "version $version waits for $waiting"
         }
         if (!answer.inForce) exitProcess(ExitCode.FAILED.status)
     }
--- a/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
@@ -8,6 +8,7 @@
 import kotlinx.cli.required
 import org.medlarhook.standins.engine.EngineModel
 import org.medlarhook.standins.engine.EngineServer
+import org.medlarhook.standins.platform.PlatformOptions
 import org.medlarhook.standins.platform.PlatformServer
 import org.medlarhook.standins.service.BookingServer
 
@@ -22,9 +23,13 @@
 @OptIn(ExperimentalCli::class)
 private class PlatformCommand : Subcommand("platform", "Tables, objects, ordering, usage reports and VM list") {
     private val port by option(ArgType.Int, "port").required()
+    private val maxReadsPerS by option(ArgType.Int, "max-reads-per-s").default(PlatformOptions.DEFAULT_MAX_READS_PER_S)
+    private val maxWritesPerS by option(ArgType.Int, "max-writes-per-s")
+        .default(PlatformOptions.DEFAULT_MAX_WRITES_PER_S)
+    private val vmLagMs by option(ArgType.Int, "vm-lag-ms").default(PlatformOptions.DEFAULT_VM_LAG_MS.toInt())
 
     override fun execute() {
-        PlatformServer().start(port)
+        PlatformServer(PlatformOptions(maxReadsPerS, maxWritesPerS, vmLagMs.toLong())).start(port)
     }
 }
 
--- a/standins/src/main/kotlin/org/medlarhook/standins/platform/PlatformServer.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/platform/PlatformServer.kt
@@ -20,12 +20,17 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /** The platform's services as one process, all in memory. Faults are set by `POST /faults`. */
-internal class PlatformServer {
+internal class PlatformServer(
+    options: PlatformOptions = PlatformOptions(),
+) {
     private val tables = InMemoryTableService()
     private val objects = ConcurrentHashMap<String, ByteArray>()
     private val orders = ConcurrentHashMap<String, UpstreamOrder>()
     private val reports = ConcurrentLinkedQueue<UsageReport>()
-    private val vms = ConcurrentHashMap<String, ListedVm>()
+    private val vms = LaggingVmList(options.vmLagMs)
+    private val counters = PlatformCounters()
+    private val readGate = RateGate(options.maxReadsPerS)
+    private val writeGate = RateGate(options.maxWritesPerS)
     private val faults = AtomicReference(PlatformFaults())
 
     fun start(port: Int) {
@@ -47,11 +52,11 @@
                 config.routes.get("/usage-reports") {
                     it.json(ListSerializer(UsageReport.serializer()), reports.toList())
                 }
-                config.routes.get("/vms") { it.json(ListSerializer(ListedVm.serializer()), vms.values.toList()) }
-                config.routes.put("/vms/{id}") { context ->
-                    vms[context.pathParam("id")] = JSON.decodeFromString(ListedVm.serializer(), context.body())
-                }
-                config.routes.delete("/vms/{id}") { vms.remove(it.pathParam("id")) }
+                config.routes.get("/vms") { it.faulty(::listVms) }
+                config.routes.put("/vms") { vms.put(JSON.decodeFromString(ListedVm.serializer(), it.body()), nowMs()) }
+                config.routes.delete("/vms/{id}") { vms.remove(it.pathParam("id"), nowMs()) }
+                config.routes.get("/stats") { it.json(PlatformStats.serializer(), counters.snapshot()) }
+                config.routes.get("/healthz") { it.result("ok") }
                 config.routes.post("/faults") {
                     faults.set(JSON.decodeFromString(PlatformFaults.serializer(), it.body()))
                 }
@@ -59,11 +64,13 @@
     }
 
     private fun read(context: Context) {
+        if (!context.takeRead()) return
         val key = JSON.decodeFromString(RowKey.serializer(), context.body())
         tables.read(key).onRight { context.json(ReadAnswer.serializer(), ReadAnswer(it)) }
     }
 
     private fun scan(context: Context) {
+        if (!context.takeRead()) return
         val request = JSON.decodeFromString(ScanRequest.serializer(), context.body())
         tables
             .scan(request.table, request.prefix, request.afterKey, request.limit)
@@ -72,6 +79,7 @@
 
     private fun transact(context: Context) {
         val transaction = JSON.decodeFromString(Transaction.serializer(), context.body())
+        if (!context.takeWrites(transaction.writes.size)) return
         when (val result = tables.transact(transaction)) {
             is Either.Right -> context.json(Committed.serializer(), result.value)
             is Either.Left -> {
@@ -81,7 +89,30 @@
         }
     }
 
+    private fun Context.takeRead(): Boolean {
+        counters.countRead()
+        return readGate.tryTake(1, System.nanoTime()) || refuse()
+    }
+
+    private fun Context.takeWrites(rows: Int): Boolean {
+        counters.countWrites(rows)
+        return writeGate.tryTake(rows, System.nanoTime()) || refuse()
+    }
+
+    private fun Context.refuse(): Boolean {
+        counters.countRefused()
+        status(HTTP_UNAVAILABLE)
+        return false
+    }
+
+    private fun listVms(context: Context) {
+        context.json(ListSerializer(ListedVm.serializer()), vms.shown(nowMs()))
+    }
+
+    private fun nowMs() = System.nanoTime() / NANOS_PER_MS
+
     private fun getObject(context: Context) {
+        counters.countObjectCall()
         val content = objects[context.pathParam("name")]
         if (content == null) context.status(HTTP_NOT_FOUND) else context.result(content)
     }
@@ -129,6 +160,7 @@
     )
 
     private companion object {
+        const val NANOS_PER_MS = 1_000_000L
         const val HTTP_NOT_FOUND = 404
         const val HTTP_CONFLICT = 409
         const val HTTP_UNAVAILABLE = 503
