Give leases and orders to one process at a time

Cause: an engine must never get conflicting orders, and orders of a process that lost its authority must have no effect, with engines that check fencing numbers and with those that don't.

Ruled out: a lease alone, as a pause can fall between the check and the write; pushes as orders, as a late push can't be told from a new one; an expiry time in the row, as the clocks of VMs differ.

Change: a lease is a pair of rows. The epoch row changes only when the lease changes hands and conditions each write of the holder. An order is a row that the sidecar obeys, one generation at a time; the next is written only after the completion, and the completion only when no copy of a lost engine call can still arrive.

--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/EpochRow.kt
@@ -0,0 +1,10 @@
+package org.medlarhook.core.lease
+
+import kotlinx.serialization.Serializable
+
+/** The content of an epoch row, which is written only when the lease changes hands. */
+@Serializable
+public data class EpochRow(
+    val epoch: Long,
+    val holder: String,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseWrite.kt
@@ -0,0 +1,47 @@
+package org.medlarhook.core.lease
+
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.platform.Condition
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.Write
+
+/** What a write of the lease row is for. */
+public enum class LeaseWriteKind {
+    TAKE,
+    RENEW,
+    RELEASE,
+}
+
+/**
+ * A write of the lease row whose outcome is not known yet.
+ *
+ * @property firstSentAtMs when the first copy was about to be sent; the lease counts from there.
+ * @property held the lease that stays valid meanwhile, if any.
+ */
+public data class LeaseWrite(
+    val kind: LeaseWriteKind,
+    val scope: LeaseScope,
+    val row: LeaseRow,
+    val expectedLeaseVersion: Long,
+    val expectedEpochVersion: Long,
+    val firstSentAtMs: Long,
+    val held: HeldLease? = null,
+) {
+    /** The transaction that carries this write out; each copy is the same. */
+    public fun transaction(): Transaction =
+        Transaction(
+            conditions =
+                listOf(
+                    Condition(scope.leaseKey, expectedLeaseVersion),
+                    Condition(scope.epochKey, expectedEpochVersion),
+                ),
+            writes = listOf(Write(scope.leaseKey, RowJson.encode(row))) + epochWrites(),
+        )
+
+    private fun epochWrites(): List<Write> =
+        if (kind == LeaseWriteKind.TAKE) {
+            listOf(Write(scope.epochKey, RowJson.encode(EpochRow(row.epoch, row.holder))))
+        } else {
+            emptyList()
+        }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/order/OrderIssuer.kt
@@ -0,0 +1,101 @@
+package org.medlarhook.core.order
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import arrow.core.right
+import org.medlarhook.core.lease.Authority
+import org.medlarhook.core.membership.UpstreamRegistration
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.platform.Condition
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.RowKey
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.Write
+
+/**
+ * Writes orders for the upstreams of one data centre.
+ *
+ * An order is the row. The transaction that writes it needs the writer's epoch row, the present order row and the
+ * sidecar's registration to be as they were read, so that it fails, however late it arrives, once a successor has
+ * taken over, another order was written, or the sidecar was restarted.
+ */
+public class OrderIssuer(
+    private val dataCentre: String,
+    private val tables: TableService,
+    private val time: TimeSource,
+) {
+    /** Issues [action] to the upstream's present sidecar. [nonce] must differ with each call. */
+    public fun issue(
+        authority: Authority,
+        upstreamId: String,
+        action: OrderAction,
+        nonce: String,
+    ): Either<OrderRefusal, OrderRow> =
+        either {
+            val key = OrderKey(dataCentre, upstreamId)
+            val registrationRow = ensureNotNull(read(key.registrationRow).bind()) { OrderRefusal.UnknownUpstream }
+            val presentRow = read(key.orderRow).bind()
+            val present = presentRow?.let { RowJson.decode<OrderRow>(it.value) }
+            ensure(present == null || present.isCompleted) { OrderRefusal.PreviousOpen(checkNotNull(present)) }
+            val next =
+                OrderRow(
+                    generation = (present?.generation ?: 0) + 1,
+                    epoch = authority.epoch,
+                    incarnation = RowJson.decode<UpstreamRegistration>(registrationRow.value).incarnation,
+                    nonce = nonce,
+                    action = action,
+                )
+            val conditions =
+                listOf(
+                    authority.condition(),
+                    Condition(key.registrationRow, registrationRow.version),
+                    Condition(key.orderRow, presentRow?.version ?: Condition.ABSENT),
+                )
+            write(authority, key, next, conditions).bind()
+        }
+
+    private fun write(
+        authority: Authority,
+        key: OrderKey,
+        next: OrderRow,
+        conditions: List<Condition>,
+    ): Either<OrderRefusal, OrderRow> {
+        if (!authority.mayAct(time.monotonicMs())) return OrderRefusal.NotInCharge.left()
+        val transaction = Transaction(conditions, listOf(Write(key.orderRow, RowJson.encode(next))))
+        return tables.transact(transaction).fold(
+            { failure ->
+                when (failure) {
+                    is TableFailure.Conflict -> conflict(authority, failure).left()
+                    is TableFailure.Unavailable -> OrderRefusal.TablesUnavailable.left()
+                    is TableFailure.OutcomeUnknown -> readBack(key, next)
+                }
+            },
+            { next.right() },
+        )
+    }
+
+    private fun conflict(authority: Authority, failure: TableFailure.Conflict): OrderRefusal {
+        val epochMoved = failure.current.any { it.key == authority.scope.epochKey }
+        return if (epochMoved) OrderRefusal.NotInCharge else OrderRefusal.Conflict
+    }
+
+    private fun readBack(key: OrderKey, sent: OrderRow): Either<OrderRefusal, OrderRow> {
+        val unknown = OrderRefusal.OutcomeUnknown(sent.nonce)
+        return read(key.orderRow)
+            .mapLeft { unknown }
+            .flatMap { row ->
+                val current = row?.let { RowJson.decode<OrderRow>(it.value) }
+                if (current?.nonce == sent.nonce) current.right() else unknown.left()
+            }
+    }
+
+    private fun read(key: RowKey): Either<OrderRefusal, Row?> =
+        tables.read(key).mapLeft { OrderRefusal.TablesUnavailable }
+}
