Order upstreams by intents that a successor finishes

Cause: the platform must not get start or stop orders from two processes that both believe they are in charge.

Ruled out: a new order after an unknown outcome, as both may take effect; a time limit on repeats, as a pause has none.

Change: an intent row under the epoch condition comes before the call, each call repeats the row, and the next row is written only after the platform has accepted the present one.

Conclusion: the point holds as long as the platform remembers an idempotency key for longer than a call may be delayed.

--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/intent/IntentRow.kt
@@ -0,0 +1,19 @@
+package org.medlarhook.core.intent
+
+import kotlinx.serialization.Serializable
+import org.medlarhook.platform.UpstreamOrder
+
+/**
+ * The newest start or stop of upstreams in one data centre.
+ *
+ * @property sequence grows by one with each intent of the data centre and never starts again.
+ * @property order what each call of the platform repeats.
+ * @property nonce differs with each intent.
+ */
+@Serializable
+public data class IntentRow(
+    val sequence: Long,
+    val order: UpstreamOrder,
+    val nonce: String,
+    val status: IntentStatus = IntentStatus.OPEN,
+)
