Bill each receipt once, in windows that are frozen as rows

Cause: no window may be reported with different figures, a lost VM may lose no bill, and none may be counted twice.

Ruled out: totals in memory, as a successor could not go on from them; a batch row that is inserted if absent, as a late copy could land again after the batch was compacted away.

Change: sidecars number receipts and entries keep copies until a collector has committed them. Each commit replaces the shard's head row under the epoch condition, so a late commit finds it changed. Freezing a window writes its report as a row in the same chain; sending repeats the row. Late usage goes into the oldest open window as a named correction. Batches are compacted.

--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/ReceiptSource.kt
@@ -0,0 +1,10 @@
+package org.medlarhook.core.usage
+
+import kotlinx.serialization.Serializable
+
+/** One start of the sidecar of one upstream. */
+@Serializable
+public data class ReceiptSource(
+    val upstreamId: String,
+    val incarnation: Long,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/UsageKeys.kt
@@ -0,0 +1,24 @@
+package org.medlarhook.core.usage
+
+import org.medlarhook.platform.RowKey
+import org.medlarhook.platform.TableNames
+
+/** The rows of one shard's usage. */
+internal class UsageKeys(
+    private val shard: String,
+) {
+    val prefix: String = "$shard/"
+    val head: RowKey = RowKey(TableNames.USAGE_BATCH, "$shard/head")
+
+    fun batch(number: Long): RowKey = RowKey(TableNames.USAGE_BATCH, prefix + pad(number))
+
+    fun window(startMs: Long): RowKey = RowKey(TableNames.USAGE_WINDOW, prefix + pad(startMs))
+
+    fun beforeBatch(number: Long): String = prefix + pad(number - 1)
+
+    private fun pad(number: Long): String = number.toString().padStart(DIGITS, '0')
+
+    private companion object {
+        const val DIGITS = 19
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/UsageStore.kt
@@ -0,0 +1,112 @@
+package org.medlarhook.core.usage
+
+import arrow.core.Either
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import org.medlarhook.core.lease.Authority
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.platform.Condition
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableNames
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.UsageReport
+import org.medlarhook.platform.Write
+
+/** A book as read, with the version of the head row that the next commit replaces. */
+internal data class LoadedBook(
+    val book: UsageBook,
+    val headVersion: Long,
+)
+
+/** Reads and writes the rows of one shard. Each commit needs the writer's epoch row and the head row as read. */
+internal class UsageStore(
+    shard: String,
+    private val settings: UsageSettings,
+    private val tables: TableService,
+    private val time: TimeSource,
+) {
+    private val keys = UsageKeys(shard)
+
+    fun load(): Either<UsageRefusal, LoadedBook> =
+        either {
+            val row = tables.read(keys.head).mapLeft { UsageRefusal.TablesUnavailable }.bind()
+            val head =
+                row?.let { RowJson.decode<UsageHeadRow>(it.value) } ?: UsageHeadRow(openWindowStartMs = nowWindowMs())
+            val batches = scan(head).bind()
+            ensure(batches.size.toLong() == head.batchCount) { UsageRefusal.Conflict }
+            val book = batches.fold(UsageBook(head)) { sum, batch -> sum.plus(batch, head) }
+            LoadedBook(book, row?.version ?: Condition.ABSENT)
+        }
+
+    fun commit(
+        authority: Authority,
+        loaded: LoadedBook,
+        next: UsageBook,
+        writes: List<Write>,
+        newRows: List<Condition> = emptyList(),
+    ): Either<UsageRefusal, LoadedBook> =
+        either {
+            ensure(authority.mayAct(time.monotonicMs())) { UsageRefusal.NotInCharge }
+            val conditions = listOf(authority.condition(), Condition(keys.head, loaded.headVersion)) + newRows
+            val headWrite = Write(keys.head, RowJson.encode(next.head))
+            val committed = tables.transact(Transaction(conditions, writes + headWrite)).mapLeft { it.refusal() }.bind()
+            LoadedBook(next, committed.version)
+        }
+
+    fun append(authority: Authority, loaded: LoadedBook, batch: UsageBatchRow): Either<UsageRefusal, LoadedBook> {
+        val head = loaded.book.head
+        val number = head.lastBatch + 1
+        if (head.batchCount < settings.batchesBeforeCompaction) {
+            val next = loaded.book.plus(batch, head.copy(lastBatch = number))
+            return commit(authority, loaded, next, listOf(Write(keys.batch(number), RowJson.encode(batch))))
+        }
+        val whole = loaded.book.plus(batch, head).compacted(time.wallMs(), settings)
+        val next = UsageBook(head).plus(whole, head.copy(firstBatch = number, lastBatch = number))
+        val deletes = (head.firstBatch..head.lastBatch).map { Write(keys.batch(it), null) }
+        return commit(authority, loaded, next, deletes + Write(keys.batch(number), RowJson.encode(whole)))
+    }
+
+    fun freeze(authority: Authority, loaded: LoadedBook, report: UsageReport): Either<UsageRefusal, LoadedBook> {
+        val key = keys.window(report.windowStartMs)
+        val next = loaded.book.plus(UsageBatchRow(), loaded.book.head.copy(openWindowStartMs = report.windowEndMs))
+        val write = Write(key, RowJson.encode(report))
+        return commit(authority, loaded, next, listOf(write), listOf(Condition(key, Condition.ABSENT)))
+    }
+
+    fun markSent(authority: Authority, loaded: LoadedBook): Either<UsageRefusal, LoadedBook> {
+        val head = loaded.book.head
+        val next = loaded.book.copy(
+            head = head.copy(unsentWindowStartMs = head.unsentWindowStartMs + settings.windowMs),
+        )
+        return commit(authority, loaded, next, emptyList())
+    }
+
+    fun frozen(windowStartMs: Long): Either<UsageRefusal, UsageReport> =
+        either {
+            val row = tables.read(keys.window(windowStartMs)).mapLeft { UsageRefusal.TablesUnavailable }.bind()
+            ensure(row != null) { UsageRefusal.Conflict }
+            RowJson.decode<UsageReport>(row.value)
+        }
+
+    private fun scan(head: UsageHeadRow): Either<UsageRefusal, List<UsageBatchRow>> {
+        if (head.batchCount <= 0) return Either.Right(emptyList())
+        return tables
+            .scan(TableNames.USAGE_BATCH, keys.prefix, keys.beforeBatch(head.firstBatch), head.batchCount.toInt())
+            .mapLeft { UsageRefusal.TablesUnavailable }
+            .map { rows -> rows.filter { it.isBatch(head) }.map { RowJson.decode(it.value) } }
+    }
+
+    private fun Row.isBatch(head: UsageHeadRow): Boolean = key.key <= keys.batch(head.lastBatch).key
+
+    private fun nowWindowMs(): Long = settings.windowStart(time.wallMs())
+
+    private fun TableFailure.refusal(): UsageRefusal =
+        when (this) {
+            is TableFailure.Conflict -> UsageRefusal.Conflict
+            is TableFailure.Unavailable -> UsageRefusal.TablesUnavailable
+            is TableFailure.OutcomeUnknown -> UsageRefusal.OutcomeUnknown
+        }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/control/UsageWorld.kt
@@ -0,0 +1,171 @@
+package org.medlarhook.core.control
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import org.medlarhook.core.lease.LeaseScope
+import org.medlarhook.core.lease.LeaseSettings
+import org.medlarhook.core.usage.EntryReceiptBuffer
+import org.medlarhook.core.usage.ReceiptLedger
+import org.medlarhook.core.usage.ReceiptSource
+import org.medlarhook.core.usage.UsageCollector
+import org.medlarhook.core.usage.UsageReceipt
+import org.medlarhook.core.usage.UsageSettings
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.UsageReport
+import org.medlarhook.platform.UsageReporting
+
+/** An entry that collects, and keeps copies of receipts. */
+internal class UsageEntry(
+    process: SimProcess,
+    settings: UsageSettings,
+    private val world: UsageWorld,
+) : SimEntry(process, LeaseScope.usage(UsageWorld.SHARD), LeaseSettings()),
+    UsageReporting {
+    var callMishap = Mishap.NONE
+    val buffer = EntryReceiptBuffer(10_000)
+    val collector = UsageCollector(UsageWorld.SHARD, settings, process, this, process.time)
+
+    override fun deliver(report: UsageReport): Either<TableFailure, Unit> =
+        world.platformCall(process, callMishap.also { callMishap = Mishap.NONE }) { world.receive(report) }
+}
+
+internal class UsageSidecar(
+    val process: SimProcess,
+    val source: ReceiptSource,
+) {
+    val ledger = ReceiptLedger(source, 10_000)
+}
+
+/** What the oracle knows of a receipt: who got a copy, and how often it was billed. */
+private class Bill(
+    val holders: List<SimProcess>,
+)
+
+internal class UsageWorld(
+    ignoredConditions: Set<String> = emptySet(),
+    private val copies: Boolean = true,
+    totals: Totals = Totals(),
+) : World(ignoredConditions, totals) {
+    private val settings = UsageSettings(windowMs = 20_000, freezeAfterMs = 5_000, batchesBeforeCompaction = 4)
+    private val bills = HashMap<String, Bill>()
+    private val reports = LinkedHashMap<Long, UsageReport>()
+    override val entries = MutableList(3) { newEntry() }
+    private val sidecars = MutableList(2) { newSidecar(it, 1) }
+
+    override fun others(): List<SimProcess> = sidecars.map { it.process }
+
+    override fun replaceEntry(index: Int) {
+        entries[index].process.alive = false
+        entries[index] = newEntry()
+    }
+
+    override fun background(entry: Int) {
+        if (trueMs % 5_000 == 0L) offer(entry)
+        if (!entries[entry].mayAct() || trueMs % 2_500 != 0L) return
+        sidecars.indices.forEach { collect(entry, it) }
+        freeze(entry)
+        send(entry)
+    }
+
+    override fun performOwn(step: Step) {
+        val index = target(step)
+        when (step.op) {
+            Op.SERVE -> serve(step)
+            Op.COLLECT -> inEntry(entries[index], step) { collect(index, step.arg / 3 % 2) }
+            Op.OFFER -> inEntry(entries[index], step) { offer(index) }
+            Op.FREEZE -> inEntry(entries[index], step) { freeze(index) }
+            Op.SEND ->
+                inEntry(entries[index], if (step.arg % 3 == 0) step else step.copy(mishap = Mishap.NONE)) {
+                    entries[index].callMishap = step.mishap
+                    send(index)
+                }
+            Op.KILL_SIDECAR -> {
+                val old = sidecars[step.who % 2]
+                old.process.alive = false
+                sidecars[step.who % 2] = newSidecar(step.who % 2, old.source.incarnation + 1)
+            }
+            else -> error("unexpected $step")
+        }
+    }
+
+    /** The platform: the same window comes with the same figures, and windows come first in order. */
+    fun receive(report: UsageReport) {
+        val first = reports.getOrPut(report.windowStartMs) {
+            oracle(reports.keys.all { it < report.windowStartMs }) { "a window was reported out of order" }
+            report
+        }
+        oracle(first == report) { "window ${report.windowStartMs} was reported with different figures" }
+    }
+
+    override fun check() {
+        reports.values.flatMap { it.lines }.groupBy { it.resource }.forEach { (resource, lines) ->
+            oracle(lines.size == 1) { "$resource was billed ${lines.size} times" }
+            oracle(lines[0].promptTokens == TOKENS) { "$resource was billed with ${lines[0].promptTokens} tokens" }
+        }
+    }
+
+    override fun endFaults() = entries.forEach { it.callMishap = Mishap.NONE }
+
+    override fun checkSettled() {
+        val reported = reports.values.flatMap { report -> report.lines.map { it.resource } }.toSet()
+        val owed = bills.filterValues { bill -> bill.holders.any { it.alive } }.keys
+        oracle(reported.containsAll(owed)) { "receipts were lost: ${owed - reported}" }
+        oracle(bills.keys.containsAll(reported)) { "receipts were invented" }
+        totals.effects += reported.size
+    }
+
+    private fun serve(step: Step) {
+        val sidecar = sidecars[step.arg / 3 % 2]
+        if (!sidecar.process.isRunning()) return
+        repeat(1 + step.arg % 3) {
+            val resource = "r${bills.size}"
+            val finishedMs = sidecar.process.time.wallMs() - step.arg * 50
+            val draft = UsageReceipt(sidecar.source, 0, "w", resource, promptTokens = TOKENS, finishedAtMs = finishedMs)
+            val receipt = sidecar.ledger.append(draft)
+            val entry = entries[step.who % 3].takeIf { it.process.isRunning() && step.mishap != Mishap.ANSWER_LOST }
+            if (copies) entry?.buffer?.keep(receipt)
+            bills[resource] = Bill(listOfNotNull(sidecar.process, entry?.process))
+        }
+    }
+
+    private fun collect(index: Int, sidecarIndex: Int) {
+        val sidecar = sidecars[sidecarIndex]
+        val authority = entries[index].authority() ?: return
+        if (!sidecar.process.isRunning()) return
+        val committed = entries[index].collector.committed(authority, sidecar.source).getOrElse { return }
+        sidecar.ledger.cover(sidecar.source.incarnation, committed.watermark)
+        entries[index].collector.collect(authority, sidecar.ledger.page(committed.watermark, 5))
+    }
+
+    private fun offer(index: Int) {
+        val taker = entries.firstOrNull { it.process.isRunning() && it.authority() != null } ?: return
+        val authority = taker.authority() ?: return
+        val buffer = entries[index].buffer
+        buffer.sources().forEach { source ->
+            val page = buffer.page(source, 3)
+            taker.collector.collect(authority, page).onRight { buffer.committed(page) }
+            taker.collector.committed(authority, source).onRight { buffer.cover(source, it.watermark) }
+        }
+    }
+
+    private fun freeze(index: Int) {
+        entries[index].authority()?.let { entries[index].collector.freezeDue(it) }
+    }
+
+    private fun send(index: Int) {
+        entries[index].authority()?.let { entries[index].collector.sendDue(it) }
+    }
+
+    private fun newEntry() = UsageEntry(newProcess("entry"), settings, this)
+
+    private fun newSidecar(index: Int, incarnation: Long) =
+        UsageSidecar(newProcess("sidecar"), ReceiptSource("u$index", incarnation))
+
+    companion object {
+        const val SHARD = "nord"
+        private const val TOKENS = 7L
+        val OPS =
+            COMMON_OPS + List(6) { Op.SERVE } + List(3) { Op.COLLECT } +
+                listOf(Op.OFFER, Op.OFFER, Op.FREEZE, Op.FREEZE, Op.SEND, Op.SEND, Op.KILL_SIDECAR, Op.DELIVER_LATE)
+    }
+}
