Run attempts asynchronously at the sidecar; batch continuously in the engine stand-in

Cause: the thin sidecar ran each attempt on a gRPC thread, had no queue, no watch, no receipts and no graceful stop, and the stand-ins had no faults.

Ruled out: pooled connections to the engine or service (a stale one makes the run state of a failed call unprovable); trusting OkHttp's retry switch alone (it repeats a request answered 503 with Retry-After: 0 whatever the switch says).

Change: the port is bound before the registration, registration repeats with jitter, attempts wait without a thread and run on one worker a slot, tokens are batched into one event and follow the transport's readiness, a health probe steers accepting, receipts are numbered, a stop announces, drains, and exits 0. The engine stand-in has one batch loop with prefill chunks, prefix cache, KV export, orders with an optional fencing check and faults; the booking stand-in counts executions a booking and can drop, delay and hang.

--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/EngineRequest.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/EngineRequest.kt
@@ -13,18 +13,7 @@
     val maxOutputTokens: Int,
     val resumeFromToken: Int,
     val priority: Int,
-)
-
-/** One token of the output. */
-@Serializable
-internal data class EngineToken(
-    val index: Int,
-    val text: String,
-)
-
-/** The end mark of the output. */
-@Serializable
-internal data class EngineEnd(
-    val end: String,
-    val outputTokens: Int,
+    val kvHandle: String = "",
+    val kvSource: String = "",
+    val prefillOnly: Boolean = false,
 )
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/lifecycle/GracefulStop.kt
@@ -0,0 +1,55 @@
+package org.medlarhook.sidecar.lifecycle
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.event
+import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.runtime.settings.SidecarLimits
+import org.medlarhook.sidecar.Serving
+import org.medlarhook.sidecar.status.StatusHub
+import org.medlarhook.sidecar.status.UpstreamState
+
+/**
+ * The order of a planned stop: announce, refuse new attempts, finish running ones, wait for a collector to take the
+ * last receipts. Seals and receipts are answered until the end.
+ */
+internal class GracefulStop(
+    private val state: UpstreamState,
+    private val hub: StatusHub,
+    private val limits: SidecarLimits,
+    private val time: TimeSource,
+) {
+    private val logger = KotlinLogging.logger {}
+
+    /** Blocks until the process may close its listeners. */
+    fun run(serving: Serving?) {
+        logger.event(LogEvent.DRAIN_STARTED)
+        state.isDraining = true
+        hub.publish()
+        if (serving != null) finish(serving)
+        hub.close()
+    }
+
+    private fun finish(serving: Serving) {
+        serving.runner.drain()
+        if (!waitFor(limits.drainLimitMs) { serving.runner.isIdle() }) {
+            logger.warnEvent(LogEvent.DRAIN_LIMIT_PASSED, "running" to serving.dispatcher.load.running)
+            serving.runner.stopAll()
+        }
+        waitFor(limits.receiptLimitMs) { serving.receipts.isFlushed() }
+    }
+
+    private fun waitFor(limitMs: Long, condition: () -> Boolean): Boolean {
+        val endMs = time.monotonicMs() + limitMs
+        while (!condition()) {
+            if (time.monotonicMs() >= endMs) return false
+            Thread.sleep(POLL_MS)
+        }
+        return true
+    }
+
+    private companion object {
+        const val POLL_MS = 20L
+    }
+}
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
@@ -5,107 +5,89 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.protocol.Finished
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.AttemptState
 import org.medlarhook.protocol.GenerateEvent
 import org.medlarhook.protocol.GenerateRequest
-import org.medlarhook.protocol.Refusal
+import org.medlarhook.protocol.ReceiptsPage
+import org.medlarhook.protocol.ReceiptsRequest
 import org.medlarhook.protocol.SealAnswer
 import org.medlarhook.protocol.SealRequest
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.protocol.ServiceCall
 import org.medlarhook.protocol.SidecarServiceGrpc
-import org.medlarhook.protocol.Started
-import org.medlarhook.protocol.Tokens
 import org.medlarhook.protocol.UpstreamStatus
 import org.medlarhook.protocol.WatchRequest
-import org.medlarhook.sidecar.attempt.AttemptTable
+import org.medlarhook.sidecar.Serving
+import org.medlarhook.sidecar.attempt.GenerateTask
+import org.medlarhook.sidecar.attempt.ServiceTask
 import org.medlarhook.sidecar.engine.EngineAdapter
-import org.medlarhook.sidecar.engine.EngineRequest
+import org.medlarhook.sidecar.operators.SidecarMetrics
 import org.medlarhook.sidecar.service.ServiceAdapter
-import org.medlarhook.protocol.RunState as WireRunState
+import org.medlarhook.sidecar.status.StatusHub
 
-/** Answers the calls of entries. */
+/** Answers the calls of entries. No function blocks: attempts run on workers. */
 internal class SidecarRpc(
-    private val incarnation: Long,
-    private val status: () -> UpstreamStatus,
+    private val serving: () -> Serving?,
+    private val hub: StatusHub,
     private val engine: EngineAdapter?,
     private val service: ServiceAdapter?,
+    private val metrics: SidecarMetrics,
+    private val time: TimeSource,
 ) : SidecarServiceGrpc.SidecarServiceImplBase() {
-    private val attempts = AttemptTable()
-
     override fun generate(request: GenerateRequest, responses: StreamObserver<GenerateEvent>) {
+        val present = serving()
         val observer = responses as ServerCallStreamObserver<GenerateEvent>
-        val failure = admit(request.incarnation, request.attemptId) ?: run(request, observer)
-        failure?.let { responses.onNext(GenerateEvent.newBuilder().setRefusal(it.toRefusal()).build()) }
-        if (!observer.isCancelled) responses.onCompleted()
+        val stream = EventStream(observer) { present?.runner?.cancel(request.attemptId) }
+        if (present == null || engine == null) {
+            stream.end(GenerateEvent.newBuilder().setRefusal(notServing(present, ResultCode.UNKNOWN_MODEL).toRefusal()))
+            return
+        }
+        val task = GenerateTask(request, stream, engine, present.dispatcher, present.receipts, metrics, time)
+        present.runner.submit(task, request.incarnation)
     }
 
     override fun callService(call: ServiceCall, responses: StreamObserver<ServiceAnswer>) {
-        val failure = admit(call.incarnation, call.attemptId)
-        val answer =
-            if (failure != null || service == null) {
-                val refusal = failure ?: Failure(ResultCode.UNKNOWN_SERVICE, RunState.NOT_RUN)
-                ServiceAnswer.newBuilder().setRefusal(refusal.toRefusal()).build()
-            } else {
-                service.call(call).also { attempts.finish(call.attemptId, it) }
-            }
-        responses.onNext(answer)
-        responses.onCompleted()
+        val present = serving()
+        val observer = responses as ServerCallStreamObserver<ServiceAnswer>
+        val answer = SingleAnswer(observer) { present?.runner?.cancel(call.attemptId) }
+        if (present == null || service == null) {
+            val refusal = notServing(present, ResultCode.UNKNOWN_SERVICE).toRefusal()
+            answer.give(ServiceAnswer.newBuilder().setRefusal(refusal).build())
+            return
+        }
+        val task = ServiceTask(call, answer, service, present.dispatcher, present.receipts, time)
+        present.runner.submit(task, call.incarnation)
     }
 
     override fun seal(request: SealRequest, responses: StreamObserver<SealAnswer>) {
-        responses.onNext(attempts.seal(request.attemptId))
+        val answer = serving()?.runner?.seal(request.attemptId, request.incarnation) ?: undetermined()
+        responses.onNext(answer)
         responses.onCompleted()
     }
 
     override fun watch(request: WatchRequest, responses: StreamObserver<UpstreamStatus>) {
-        responses.onNext(status())
+        hub.add(responses as ServerCallStreamObserver<UpstreamStatus>)
     }
 
-    private fun admit(forIncarnation: Long, attemptId: String): Failure? =
-        when {
-            forIncarnation != incarnation -> Failure(ResultCode.WRONG_INCARNATION, RunState.NOT_RUN)
-            !attempts.start(attemptId) -> Failure(ResultCode.DUPLICATE_ATTEMPT, RunState.NOT_RUN)
-            else -> null
-        }
-
-    private fun run(request: GenerateRequest, observer: ServerCallStreamObserver<GenerateEvent>): Failure? {
-        if (engine == null) return Failure(ResultCode.UNKNOWN_MODEL, RunState.NOT_RUN)
-        observer.onNext(GenerateEvent.newBuilder().setStarted(Started.getDefaultInstance()).build())
-        val result =
-            engine.generate(request.toEngineRequest(), observer::isCancelled) { token ->
-                val tokens = Tokens.newBuilder().setFirstIndex(token.index).addTexts(token.text)
-                observer.onNext(GenerateEvent.newBuilder().setTokens(tokens).build())
-            }
-        attempts.finish(request.attemptId)
-        return result.fold(
-            ifLeft = { it },
-            ifRight = { end ->
-                val finished = Finished.newBuilder().setFinishReason(end.end)
-                observer.onNext(GenerateEvent.newBuilder().setFinished(finished).build())
-                null
-            },
-        )
+    override fun pullReceipts(request: ReceiptsRequest, responses: StreamObserver<ReceiptsPage>) {
+        val present = serving()?.takeIf { it.incarnation == request.incarnation }
+        val limit = request.limit.coerceIn(1, MAX_RECEIPTS)
+        responses.onNext(present?.receipts?.page(request.afterSequence, limit) ?: ReceiptsPage.getDefaultInstance())
+        responses.onCompleted()
     }
 
-    private fun GenerateRequest.toEngineRequest() =
-        EngineRequest(
-            attemptId = attemptId,
-            model = model,
-            adapter = adapter,
-            prompt = prompt,
-            promptTokens = promptTokens,
-            maxOutputTokens = maxOutputTokens,
-            resumeFromToken = resumeFromToken,
-            priority = priority,
-        )
+    private fun notServing(present: Serving?, code: ResultCode): Failure =
+        if (present == null) {
+            Failure(ResultCode.NO_UPSTREAM, RunState.NOT_RUN, "not registered yet", RETRY_AFTER_MS)
+        } else {
+            Failure(code, RunState.NOT_RUN)
+        }
+
+    private fun undetermined(): SealAnswer = SealAnswer.newBuilder().setState(AttemptState.UNDETERMINED).build()
 
-    private fun Failure.toRefusal(): Refusal =
-        Refusal
-            .newBuilder()
-            .setCode(code.number)
-            .setRunState(WireRunState.valueOf(runState.name))
-            .setDetail(detail)
-            .setRetryAfterMs(retryAfterMs ?: 0)
-            .build()
+    private companion object {
+        const val MAX_RECEIPTS = 1_000
+        const val RETRY_AFTER_MS = 1_000L
+    }
 }
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/WireMapping.kt
@@ -0,0 +1,49 @@
+package org.medlarhook.sidecar.rpc
+
+import org.medlarhook.core.attempt.AttemptFate
+import org.medlarhook.core.attempt.SchedulerLoad
+import org.medlarhook.core.result.Failure
+import org.medlarhook.protocol.AttemptState
+import org.medlarhook.protocol.Refusal
+import org.medlarhook.protocol.RunState
+import org.medlarhook.protocol.SealAnswer
+import org.medlarhook.protocol.ServiceAnswer
+import org.medlarhook.protocol.UpstreamLoad
+
+/** The message that stands for a failure. */
+internal fun Failure.toRefusal(): Refusal =
+    Refusal
+        .newBuilder()
+        .setCode(code.number)
+        .setRunState(RunState.valueOf(runState.name))
+        .setDetail(detail)
+        .setRetryAfterMs(retryAfterMs ?: 0)
+        .build()
+
+/** The message that stands for a load. */
+internal fun SchedulerLoad.toMessage(): UpstreamLoad =
+    UpstreamLoad
+        .newBuilder()
+        .setRunning(running)
+        .setQueued(queued)
+        .setQueuedPrefillTokens(queuedPrefillTokens)
+        .setQueuedDecodeTokens(queuedDecodeTokens)
+        .setPrefillTokensPerS(prefillTokensPerS)
+        .setDecodeTokensPerS(decodeTokensPerS)
+        .setSlots(slots)
+        .build()
+
+/** The message that stands for an attempt's fate. */
+internal fun AttemptFate<ServiceAnswer>.toSealAnswer(): SealAnswer {
+    val answer = SealAnswer.newBuilder()
+    when (this) {
+        AttemptFate.Sealed -> answer.state = AttemptState.SEALED
+        AttemptFate.Running -> answer.state = AttemptState.RUNNING
+        AttemptFate.Undetermined -> answer.state = AttemptState.UNDETERMINED
+        is AttemptFate.Finished -> {
+            answer.state = AttemptState.FINISHED
+            this.answer?.let { answer.answer = it }
+        }
+    }
+    return answer.build()
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
@@ -0,0 +1,65 @@
+package org.medlarhook.sidecar.status
+
+import org.medlarhook.core.attempt.SchedulerLoad
+import org.medlarhook.protocol.LoadedModel
+import org.medlarhook.protocol.UpstreamRole
+import org.medlarhook.protocol.UpstreamStatus
+import org.medlarhook.runtime.settings.SidecarSettings
+import org.medlarhook.sidecar.rpc.toMessage
+
+/** The state of the upstream as entries see it. Fields are written by one thread each and read by any. */
+internal class UpstreamState(
+    private val settings: SidecarSettings,
+    private val load: () -> SchedulerLoad?,
+) {
+    /** The incarnation, or null before the registration. */
+    @Volatile
+    var incarnation: Long? = null
+
+    /** True once the graceful stop has begun. */
+    @Volatile
+    var isDraining = false
+
+    /** True while the engine or service answers its health probe. */
+    @Volatile
+    var isHealthy = false
+
+    /** What orders have made of the upstream. */
+    @Volatile
+    var reported = initialState()
+
+    /** True while attempts are taken. */
+    val isAccepting: Boolean get() = incarnation != null && !isDraining && isHealthy
+
+    /** The message to entries. */
+    fun toMessage(): UpstreamStatus {
+        val present = reported
+        val status =
+            UpstreamStatus
+                .newBuilder()
+                .setUpstreamId(settings.upstreamId)
+                .setIncarnation(incarnation ?: 0)
+                .setRole(present.role)
+                .setAccepting(isAccepting)
+                .setDraining(isDraining)
+                .addAllModels(present.models.map { it.toMessage() })
+                .addAllServices(settings.service?.names.orEmpty())
+                .setOrderGeneration(present.orderGeneration)
+        load()?.let { status.setLoad(it.toMessage()) }
+        return status.build()
+    }
+
+    private fun initialState(): ReportedState =
+        ReportedState(
+            role = if (settings.engine != null) UpstreamRole.MIXED else UpstreamRole.SERVICE,
+            models = settings.engine?.models.orEmpty().map { ReportedModel(it) },
+        )
+
+    private fun ReportedModel.toMessage(): LoadedModel =
+        LoadedModel
+            .newBuilder()
+            .setModel(model)
+            .setAdapter(adapter)
+            .setVersion(version)
+            .build()
+}
--- a/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/Main.kt
@@ -37,9 +37,38 @@
         .default(EngineModel.DEFAULT_PREFILL_TOKENS_PER_S)
     private val decodeTokensPerS by option(ArgType.Double, "decode-tokens-per-s")
         .default(EngineModel.DEFAULT_DECODE_TOKENS_PER_S)
+    private val batchSlowdown by option(ArgType.Double, "batch-slowdown").default(DEFAULTS.batchSlowdown)
+    private val cacheTokens by option(ArgType.Int, "cache-tokens").default(DEFAULTS.cacheTokens)
+    private val orderMs by option(ArgType.Int, "order-ms").default(DEFAULTS.orderMs.toInt())
+    private val roleChangeMs by option(ArgType.Int, "role-change-ms").default(DEFAULTS.roleChangeMs.toInt())
+    private val loadLagMs by option(ArgType.Int, "load-lag-ms").default(DEFAULTS.loadLagMs.toInt())
+    private val fencing by option(ArgType.Boolean, "fencing").default(false)
 
     override fun execute() {
-        EngineServer(EngineModel(listOf(model), slots, prefillTokensPerS, decodeTokensPerS)).start(port)
+        val engineModel =
+            EngineModel(
+                models = model.split(','),
+                slots = slots,
+                prefillTokensPerS = prefillTokensPerS,
+                decodeTokensPerS = decodeTokensPerS,
+                batchSlowdown = batchSlowdown,
+                cacheTokens = cacheTokens,
+                orderMs = orderMs.toLong(),
+                roleChangeMs = roleChangeMs.toLong(),
+                checksFencing = fencing,
+                loadLagMs = loadLagMs.toLong(),
+            )
+        EngineServer(engineModel).start(port)
+    }
+
+    private companion object {
+        val DEFAULTS =
+            EngineModel(
+                models = emptyList(),
+                slots = EngineModel.DEFAULT_SLOTS,
+                prefillTokensPerS = EngineModel.DEFAULT_PREFILL_TOKENS_PER_S,
+                decodeTokensPerS = EngineModel.DEFAULT_DECODE_TOKENS_PER_S,
+            )
     }
 }
 
--- a/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineServer.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineServer.kt
@@ -2,87 +2,131 @@
 
 import io.javalin.Javalin
 import io.javalin.http.Context
-import kotlinx.serialization.Serializable
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.builtins.MapSerializer
+import kotlinx.serialization.builtins.serializer
 import kotlinx.serialization.json.Json
-import java.util.concurrent.Semaphore
-import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 
 /** A model engine over HTTP: streams one JSON object a line, first the tokens, last an end line. */
 internal class EngineServer(
     private val model: EngineModel,
 ) {
-    private val slots = Semaphore(model.slots, true)
-    private val prefillLock = Any()
-    private val running = AtomicInteger()
-    private val generatedTokens = AtomicLong()
+    @Volatile
+    private var faults = EngineFaults()
+    private val orders = EngineOrders(model)
+    private val exports = KvStore()
+    private val imports = KvImport(model)
+    private val cacheEvents = CacheEvents(model.cacheEventDelayMs)
+    private val cache = PrefixCache(model.cacheTokens) { kind, block -> cacheEvents.record(kind, block, nowMs()) }
+    private val load = LaggingLoad(model.loadLagMs)
+    private val seen = SeenAttempts()
+    private val timer = Executors.newScheduledThreadPool(1)
+    private val writers = Executors.newFixedThreadPool(WRITERS)
+    private val loop = BatchLoop(model, { faults }, { orders.isAway }, ::exportIfAsked)
 
     fun start(port: Int) {
+        loop.start()
+        timer.scheduleAtFixedRate(::sampleLoad, 0, SAMPLE_MS, TimeUnit.MILLISECONDS)
         Javalin
             .create { config ->
                 config.startup.showJavalinBanner = false
                 config.routes.post("/generate", ::generate)
-                config.routes.get("/load") { it.result("""{"running":${running.get()},"slots":${model.slots}}""") }
-                config.routes.get("/stats") { it.result("""{"generatedTokens":${generatedTokens.get()}}""") }
-                config.routes.get("/healthz") { it.result("ok") }
+                config.routes.post("/cancel") { it.status(if (loop.cancel(it.body())) HTTP_OK else HTTP_NOT_FOUND) }
+                config.routes.post("/orders", ::order)
+                config.routes.get("/orders") { it.json(ListSerializer(LoggedOrder.serializer()), orders.log.toList()) }
+                config.routes.post("/faults", ::setFaults)
+                config.routes.get("/kv/{handle}", ::export)
+                config.routes.get("/cache-events", ::publishCacheEvents)
+                config.routes.get("/attempts") { it.json(COUNTS, seen.counts()) }
+                config.routes.get("/models") { it.json(ListSerializer(String.serializer()), orders.models()) }
+                config.routes.get("/load") { context ->
+                    load.published()?.let { context.json(LoadReport.serializer(), it) }
+                }
+                config.routes.get("/stats") { it.json(EngineStats.serializer(), stats()) }
+                config.routes.get("/healthz", ::health)
             }.start("127.0.0.1", port)
     }
 
     private fun generate(context: Context) {
-        val request = JSON.decodeFromString(GenerateBody.serializer(), context.body())
-        slots.acquire()
-        running.incrementAndGet()
-        try {
-            prefill(request)
-            decode(request, context)
-        } finally {
-            running.decrementAndGet()
-            slots.release()
+        if (faults.hang) return context.future { NEVER }
+        val body = JSON.decodeFromString(GenerateBody.serializer(), context.body())
+        when {
+            faults.refuse || orders.isAway -> context.status(HTTP_UNAVAILABLE)
+            !orders.serves(body) -> context.status(HTTP_NOT_FOUND)
+            else -> open(context, body)
         }
     }
 
-    private fun prefill(request: GenerateBody) {
-        val durationMs = (request.promptTokens * MS_PER_S / model.prefillTokensPerS).toLong()
-        synchronized(prefillLock) { Thread.sleep(durationMs) }
+    private fun open(context: Context, body: GenerateBody) {
+        seen.add(body.attemptId)
+        val transferMs = if (body.kvHandle.isEmpty()) null else imports.transferMs(body)
+        val prefillTokens = if (transferMs != null) 0 else uncachedTokens(body)
+        context.future {
+            val stream = EngineStream(body, prefillTokens, context.res().outputStream, writers)
+            timer.schedule({ loop.submit(stream) }, transferMs ?: 0, TimeUnit.MILLISECONDS)
+            stream.done
+        }
+    }
+
+    private fun uncachedTokens(body: GenerateBody): Int =
+        maxOf(0, body.promptTokens + body.resumeFromToken - cache.matchAndStore(body.prompt))
+
+    private fun exportIfAsked(stream: EngineStream): String? =
+        if (stream.body.prefillOnly) exports.export(stream.body.promptTokens) else null
+
+    private fun export(context: Context) {
+        val tokens = exports.tokens(context.pathParam("handle"))
+        if (tokens == null) context.status(HTTP_NOT_FOUND) else context.result(tokens.toString())
+    }
+
+    private fun order(context: Context) {
+        val isApplied = orders.apply(JSON.decodeFromString(EngineOrderBody.serializer(), context.body()))
+        context.status(if (isApplied) HTTP_OK else HTTP_CONFLICT)
+    }
+
+    private fun setFaults(context: Context) {
+        faults = JSON.decodeFromString(EngineFaults.serializer(), context.body())
+        if (faults.crash) Runtime.getRuntime().halt(EXIT_CRASHED)
+    }
+
+    private fun publishCacheEvents(context: Context) {
+        val after = context.queryParam("after")?.toLongOrNull() ?: 0
+        context.json(ListSerializer(CacheEvent.serializer()), cacheEvents.after(after, nowMs()))
     }
 
-    private fun decode(request: GenerateBody, context: Context) {
-        val output = context.res().outputStream
-        val intervalNanos = (NANOS_PER_S / model.decodeTokensPerS).toLong()
-        var nextNanos = System.nanoTime()
-        for (index in request.resumeFromToken until request.maxOutputTokens) {
-            nextNanos += intervalNanos
-            val waitMs = (nextNanos - System.nanoTime()) / NANOS_PER_MS
-            if (waitMs > 0) Thread.sleep(waitMs)
-            output.write("""{"index":$index,"text":"${tokenText(request, index)}"}""".plus("\n").encodeToByteArray())
-            output.flush()
-            generatedTokens.incrementAndGet()
+    private fun health(context: Context) {
+        when {
+            faults.hang -> context.future { NEVER }
+            orders.isAway -> context.status(HTTP_UNAVAILABLE)
+            else -> context.result("ok")
         }
-        output.write("""{"end":"length","outputTokens":${request.maxOutputTokens}}""".plus("\n").encodeToByteArray())
-        output.flush()
     }
 
-    /** The text depends on prompt and index alone, so that a resumed stream goes on as the first one would have. */
-    private fun tokenText(request: GenerateBody, index: Int): String =
-        " w" + Math.floorMod(request.prompt.hashCode() + index * TOKEN_STRIDE, VOCABULARY)
-
-    @Serializable
-    private data class GenerateBody(
-        val attemptId: String,
-        val model: String,
-        val prompt: String,
-        val promptTokens: Int,
-        val maxOutputTokens: Int,
-        val resumeFromToken: Int = 0,
-        val priority: Int = 0,
-    )
+    private fun stats() = EngineStats(loop.generatedTokens.get(), loop.prefilledTokens.get())
+
+    private fun sampleLoad() {
+        load.sample(LoadReport(loop.runningCount, loop.waitingCount, model.slots, orders.role, nowMs()))
+    }
+
+    private fun nowMs(): Long = System.currentTimeMillis()
+
+    private fun <T> Context.json(serializer: kotlinx.serialization.KSerializer<T>, value: T) {
+        contentType("application/json").result(JSON.encodeToString(serializer, value))
+    }
 
     private companion object {
-        const val MS_PER_S = 1_000.0
-        const val NANOS_PER_S = 1_000_000_000.0
-        const val NANOS_PER_MS = 1_000_000L
-        const val TOKEN_STRIDE = 7919
-        const val VOCABULARY = 50_000
+        const val HTTP_OK = 200
+        const val HTTP_NOT_FOUND = 404
+        const val HTTP_CONFLICT = 409
+        const val HTTP_UNAVAILABLE = 503
+        const val EXIT_CRASHED = 1
+        const val WRITERS = 4
+        const val SAMPLE_MS = 100L
+        val NEVER = CompletableFuture<Unit>()
+        val COUNTS = MapSerializer(String.serializer(), Int.serializer())
         val JSON = Json { ignoreUnknownKeys = true }
     }
 }
--- /dev/null
+++ b/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineStats.kt
@@ -0,0 +1,10 @@
+package org.medlarhook.standins.engine
+
+import kotlinx.serialization.Serializable
+
+/** Work done by the engine since its start. */
+@Serializable
+internal data class EngineStats(
+    val generatedTokens: Long,
+    val prefilledTokens: Long,
+)
