--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/admission/QueueFinish.kt
@@ -0,0 +1,21 @@
+package org.medlarhook.core.admission
+
+import org.medlarhook.core.routing.FinishPrediction
+import org.medlarhook.core.routing.WorkTokens
+
+/** Predicts the finish of a request from the queue that the sidecar holds. */
+public object QueueFinish {
+    /** The expected finish of [work], offered at [nowMs] to the queue of [state]. */
+    public fun predict(work: WorkTokens, state: QueueState, nowMs: Long): FinishPrediction {
+        val speed = state.speed
+        val unloadedMs = nowMs + speed.prefillMs(work.prefillTokens) + speed.decodeMs(work.decodeTokens)
+        val waitMs = state.queuedAheadMs + speed.prefillMs(state.runningWork.prefillTokens) + slotWaitMs(state)
+        return FinishPrediction((unloadedMs + waitMs).toLong(), unloadedMs.toLong())
+    }
+
+    /** The time until the first running request ends, if all slots are taken. */
+    private fun slotWaitMs(state: QueueState): Double {
+        if (state.running < state.speed.slots) return 0.0
+        return state.speed.batchDecodeMs(state.runningWork.decodeTokens / state.running)
+    }
+}
