--- a/core/src/main/kotlin/org/medlarhook/core/directory/AppendFailure.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/AppendFailure.kt
@@ -13,7 +13,7 @@
         val detail: String,
     ) : AppendFailure
 
-    /** The change may or may not be written; appending the same change again settles it. */
+    /** The change may or may not be written; [DirectoryLog.settle] finds out. */
     public data class OutcomeUnknown(
         val detail: String,
     ) : AppendFailure
--- a/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryLog.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryLog.kt
@@ -39,15 +39,20 @@
      *
      * Appending the same change (version and nonce) again has no further effect.
      */
-    public fun append(change: DirectoryChange): Either<AppendFailure, Long> {
+    public fun append(change: DirectoryChange): Either<AppendFailure, Long> = append(change, mayBeWritten = false)
+
+    /** Repeats an append whose outcome is unknown. Not reaching the tables leaves the outcome unknown. */
+    public fun settle(change: DirectoryChange): Either<AppendFailure, Long> = append(change, mayBeWritten = true)
+
+    private fun append(change: DirectoryChange, mayBeWritten: Boolean): Either<AppendFailure, Long> {
         require(change.nonce.isNotEmpty()) { "a change needs a nonce" }
         var result: Either<AppendFailure, Long> = AppendFailure.Unavailable("not tried").left()
-        var mayBeWritten = false
+        var unsettled = mayBeWritten
         repeat(APPEND_ATTEMPTS) {
             val attempt = attempt(change)
             if (attempt is Attempt.Settled) return attempt.result
-            mayBeWritten = mayBeWritten || attempt is Attempt.Unsettled
-            result = attempt.failure(mayBeWritten).left()
+            unsettled = unsettled || attempt is Attempt.Unsettled
+            result = attempt.failure(unsettled).left()
         }
         return result
     }
@@ -55,7 +60,7 @@
     private fun attempt(change: DirectoryChange): Attempt {
         val row = headRow().getOrElse { return Attempt.Unreached }
         val head = row.toHead()
-        if (head.version >= change.version) return settle(change, head)
+        if (head.version >= change.version) return readBack(change, head)
         if (head.version <
             change.version - 1
         ) {
@@ -69,7 +74,7 @@
         }
     }
 
-    private fun settle(change: DirectoryChange, head: DirectoryHead): Attempt {
+    private fun readBack(change: DirectoryChange, head: DirectoryHead): Attempt {
         val row = tables.read(changeKey(change.version)).getOrElse { return Attempt.Unreached }
         val written = row?.let { DirectoryJson.decodeChange(it.value) } ?: return Attempt.Unsettled
         if (written.nonce == change.nonce) return Attempt.Settled(change.version.right())
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryReplica.kt
@@ -0,0 +1,131 @@
+package org.medlarhook.core.directory
+
+import org.medlarhook.core.directory.ReplicaEvent.ChangesFetched
+import org.medlarhook.core.directory.ReplicaEvent.EntriesRead
+import org.medlarhook.core.directory.ReplicaEvent.PeerAnswered
+import org.medlarhook.core.directory.ReplicaEvent.PeerCalled
+import org.medlarhook.core.directory.ReplicaEvent.PeerFailed
+import org.medlarhook.core.directory.ReplicaEvent.TablesFailed
+import org.medlarhook.core.directory.ReplicaEvent.TablesRead
+import org.medlarhook.core.directory.ReplicaEvent.Tick
+import org.medlarhook.core.directory.ReplicaEvent.VmsListed
+import org.medlarhook.core.directory.ReplicaEvent.WriteSettled
+
+/**
+ * The replica of the directory in one entry, as a function from state and event to state and actions.
+ *
+ * News and sightings count from before the request that brought them, and only as answers to this process's own
+ * requests; they are taken over only at a version that covers the sender's. So what this process knows is never
+ * younger than it believes, and never lacks a change that the sender had.
+ */
+public class DirectoryReplica(
+    settings: ReplicaSettings,
+) {
+    private val scheduler = ReplicaScheduler(settings)
+
+    /** Handles [event] at [nowMs]. */
+    public fun on(state: ReplicaState, event: ReplicaEvent, nowMs: Long): ReplicaStep =
+        when (event) {
+            is Tick -> scheduler.tick(state, nowMs)
+            is TablesRead -> onTablesRead(state, event, nowMs)
+            is TablesFailed -> ReplicaStep(onTablesFailed(state, event, nowMs))
+            is EntriesRead -> ReplicaStep(onEntriesRead(state, event, nowMs))
+            is VmsListed -> ReplicaStep(state.copy(vms = state.vms.update(event.vms, nowMs)))
+            is PeerAnswered -> onPeerAnswered(state, event, nowMs)
+            is PeerFailed -> ReplicaStep(state.withoutExchange(event.entryId))
+            is PeerCalled -> onPeerCalled(state, event.digest, nowMs)
+            is ChangesFetched -> ReplicaStep(state.applied(event.changes))
+            is WriteSettled -> ReplicaStep(onWriteSettled(state, event, nowMs))
+        }
+
+    private fun onTablesRead(state: ReplicaState, event: TablesRead, nowMs: Long): ReplicaStep {
+        val page = event.page
+        val based = page.snapshot?.let { state.rebased(it) } ?: state
+        val next = based.applied(page.changes).copy(reach = state.reach.readOk(nowMs))
+        if (next.directory.version < page.headVersion) {
+            val started = next.copy(schedule = next.schedule.copy(pollStartedMs = nowMs, lastPollStartedMs = nowMs))
+            return ReplicaStep(started, listOf(ReplicaAction.PollTables(next.directory.version)))
+        }
+        return ReplicaStep(scheduler.afterRead(next.withNews(event.startedAtMs), event.startedAtMs, nowMs))
+    }
+
+    private fun onTablesFailed(state: ReplicaState, event: TablesFailed, nowMs: Long): ReplicaState {
+        if (state.schedule.pollStartedMs != event.startedAtMs) return state
+        return scheduler.afterFailure(state.copy(reach = state.reach.readFailed(nowMs)), nowMs)
+    }
+
+    private fun onEntriesRead(state: ReplicaState, event: EntriesRead, nowMs: Long): ReplicaState {
+        val entries = state.entries.withRows(event.rows, event.startedAtMs, nowMs)
+        val newsMs = state.news?.originMs ?: return state.copy(entries = entries)
+        return state.copy(entries = entries.pruned(state.vms, newsMs))
+    }
+
+    private fun onPeerAnswered(state: ReplicaState, event: PeerAnswered, nowMs: Long): ReplicaStep {
+        val digest = event.digest
+        val known = state.withoutExchange(digest.entryId).copy(
+            entries = state.entries.withAnswer(digest.sender, digest.version, nowMs),
+            pending = state.pending.put(digest.entryId, AnsweredDigest(event.sentAtMs, digest)),
+        )
+        val alerted = if (state.lostTables(digest)) scheduler.pollEarly(known, nowMs) else known
+        return scheduler.fetch(alerted.settled(), known.entries.members[digest.entryId], nowMs)
+    }
+
+    private fun onPeerCalled(state: ReplicaState, digest: PeerDigest, nowMs: Long): ReplicaStep {
+        val known = state.copy(entries = state.entries.withCaller(digest.sender, digest.version, nowMs))
+        val alerted = if (state.lostTables(digest)) scheduler.pollEarly(known, nowMs) else known
+        return scheduler.fetch(alerted, known.entries.members[digest.entryId], nowMs)
+    }
+
+    private fun onWriteSettled(state: ReplicaState, event: WriteSettled, nowMs: Long): ReplicaState =
+        state
+            .applied(listOfNotNull(event.written))
+            .copy(reach = state.reach.writeSettled(nowMs), schedule = state.schedule.copy(nextEntriesMs = nowMs))
+
+    /** True if the sender reached the tables when it was last heard of, and says that it no longer does. */
+    private fun ReplicaState.lostTables(digest: PeerDigest): Boolean =
+        !digest.reachesTables && (sightings[digest.entryId]?.reachesTables ?: true)
+
+    private fun ReplicaState.withoutExchange(entryId: String) =
+        copy(schedule = schedule.copy(exchangesMs = schedule.exchangesMs.remove(entryId)))
+
+    private fun ReplicaState.withNews(originMs: Long): ReplicaState =
+        if (originMs > (news?.originMs ?: Long.MIN_VALUE)) copy(news = News(originMs)) else this
+
+    private fun ReplicaState.rebased(snapshot: DirectoryState): ReplicaState =
+        if (snapshot.version > directory.version) copy(directory = snapshot, recent = emptyList()) else this
+
+    private fun ReplicaState.applied(changes: List<DirectoryChange>): ReplicaState {
+        val next = directory.applyAll(changes)
+        if (next.version == directory.version) return this
+        val added = changes.filter { it.version > directory.version && it.version <= next.version }
+        return copy(directory = next, recent = (recent + added).takeLast(MAX_RECENT)).settled()
+    }
+
+    /** Takes over the pending digests whose version this state covers. */
+    private fun ReplicaState.settled(): ReplicaState {
+        val covered = pending.values.filter { it.digest.version <= directory.version }
+        return covered.fold(this) { state, answered -> state.merged(answered) }
+    }
+
+    private fun ReplicaState.merged(answered: AnsweredDigest): ReplicaState {
+        val digest = answered.digest
+        val relayed = digest.sightings.associate {
+            it.entryId to
+                Sighting(answered.sentAtMs - it.ageMs, it.reachesTables)
+        }
+        val own = digest.entryId to Sighting(answered.sentAtMs, digest.reachesTables)
+        val next = (relayed + own - selfId).entries.fold(this) { state, (id, sighting) -> state.sighted(id, sighting) }
+        val heard = digest.newsAgeMs?.let { next.withNews(answered.sentAtMs - it) } ?: next
+        return heard.copy(pending = pending.remove(digest.entryId))
+    }
+
+    private fun ReplicaState.sighted(entryId: String, sighting: Sighting): ReplicaState {
+        val known = sightings[entryId]
+        if (known != null && known.originMs > sighting.originMs) return this
+        return copy(sightings = sightings.put(entryId, sighting))
+    }
+
+    private companion object {
+        const val MAX_RECENT = 1_000
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/News.kt
@@ -0,0 +1,13 @@
+package org.medlarhook.core.directory
+
+/**
+ * The newest known read of the tables whose changes this process has applied.
+ *
+ * @property originMs a moment on this process's monotonic clock that is not after the read.
+ */
+public data class News(
+    val originMs: Long,
+) {
+    /** An upper bound of the age. */
+    public fun ageMs(nowMs: Long): Long = nowMs - originMs
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/TablesReach.kt
@@ -0,0 +1,38 @@
+package org.medlarhook.core.directory
+
+/**
+ * Whether this process reaches the tables, as it tells its peers.
+ *
+ * A process says that it reaches the tables while its newest read worked or any write of its own is open, so that
+ * nobody takes it for harmless while a write may take effect.
+ *
+ * @property openWrites writes of the directory that are under way or whose outcome is unknown.
+ * @property assertedSinceMs since when the process has said so without a break, or null while it doesn't.
+ * @property failures reads that failed in a row.
+ */
+public data class TablesReach(
+    val lastReadOk: Boolean,
+    val openWrites: Int,
+    val assertedSinceMs: Long?,
+    val failures: Int,
+) {
+    /** What the process tells its peers. */
+    val asserted: Boolean get() = assertedSinceMs != null
+
+    /** Notes a read that worked. */
+    public fun readOk(nowMs: Long): TablesReach = copy(lastReadOk = true, failures = 0).reassert(nowMs)
+
+    /** Notes a read that failed. */
+    public fun readFailed(nowMs: Long): TablesReach = copy(lastReadOk = false, failures = failures + 1).reassert(nowMs)
+
+    /** Notes the start of a write. */
+    public fun writeOpened(nowMs: Long): TablesReach = copy(openWrites = openWrites + 1).reassert(nowMs)
+
+    /** Notes that the outcome of a write is known. */
+    public fun writeSettled(nowMs: Long): TablesReach = copy(openWrites = openWrites - 1).reassert(nowMs)
+
+    private fun reassert(nowMs: Long): TablesReach {
+        val asserts = lastReadOk || openWrites > 0
+        return copy(assertedSinceMs = if (asserts) assertedSinceMs ?: nowMs else null)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/membership/WatchBase.kt
@@ -0,0 +1,15 @@
+package org.medlarhook.core.membership
+
+/**
+ * Relates the clock of a sidecar to that of an entry: the first report of a watch was sent after the watch was opened.
+ *
+ * @property startedAtMs when the entry opened the watch, on its own clock.
+ * @property firstSentAtMs when the sidecar sent the first report, on the sidecar's clock.
+ */
+public data class WatchBase(
+    val startedAtMs: Long,
+    val firstSentAtMs: Long,
+) {
+    /** Returns a moment on the entry's clock that is not after [sentAtMs] on the sidecar's clock. */
+    public fun toOwnClockMs(sentAtMs: Long): Long = startedAtMs + (sentAtMs - firstSentAtMs)
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/CommitRecorder.kt
@@ -0,0 +1,23 @@
+package org.medlarhook.core.fuzz
+
+import arrow.core.Either
+import org.medlarhook.core.directory.DirectoryChange
+import org.medlarhook.core.directory.DirectoryJson
+import org.medlarhook.platform.Committed
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableNames
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+
+/** Tells of each change of the directory at the moment at which it takes effect. */
+class CommitRecorder(
+    private val target: TableService,
+    private val onCommit: (DirectoryChange) -> Unit,
+) : TableService by target {
+    override fun transact(transaction: Transaction): Either<TableFailure, Committed> =
+        target.transact(transaction).onRight {
+            transaction.writes
+                .filter { it.key.table == TableNames.DIRECTORY_CHANGE }
+                .forEach { write -> write.value?.let { onCommit(DirectoryJson.decodeChange(it)) } }
+        }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/FuzzRules.kt
@@ -0,0 +1,99 @@
+package org.medlarhook.core.fuzz
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.medlarhook.core.directory.AppendFailure
+import org.medlarhook.core.directory.AuthorityBasis
+import org.medlarhook.core.directory.AuthorityDecision
+import org.medlarhook.core.directory.AuthorityPolicy
+import org.medlarhook.core.directory.DirectoryChange
+import org.medlarhook.core.directory.DirectoryLog
+import org.medlarhook.core.directory.HoldingWritePermit
+import org.medlarhook.core.directory.NewsAuthorityPolicy
+import org.medlarhook.core.directory.PeerDigest
+import org.medlarhook.core.directory.ReplicaSettings
+import org.medlarhook.core.directory.ReplicaState
+import org.medlarhook.core.directory.TablesReach
+import org.medlarhook.core.directory.WithdrawalStatus
+import org.medlarhook.core.directory.WritePermit
+import org.medlarhook.core.directory.WriteRefusal
+
+private typealias StatusRule = (ReplicaState, version: Long, writtenAtMs: Long, nowMs: Long) -> WithdrawalStatus
+
+/** The mechanisms under test, each of which a broken variant replaces. */
+data class FuzzRules(
+    val settings: ReplicaSettings = ReplicaSettings(),
+    val policy: AuthorityPolicy = NewsAuthorityPolicy(settings),
+    val permit: WritePermit = HoldingWritePermit(settings),
+    val status: StatusRule = WithdrawalStatus::of,
+    val countedFromMs: (sentAtMs: Long, receivedAtMs: Long) -> Long = { sentAtMs, _ -> sentAtMs },
+    val received: (PeerDigest) -> PeerDigest = { it },
+    val append: (DirectoryLog, DirectoryChange) -> Either<AppendFailure, Long> = DirectoryLog::append,
+    val settle: (DirectoryLog, DirectoryChange) -> Either<AppendFailure, Long> = DirectoryLog::settle,
+)
+
+/** Variants with one mechanism broken, which the oracle must catch. */
+object BrokenRules {
+    private val sound = FuzzRules()
+
+    val agesCountedFromReceipt = sound.copy(countedFromMs = { _, receivedAtMs -> receivedAtMs })
+
+    val sightingsWithoutVersion = sound.copy(received = { it.copy(version = 0) })
+
+    val outageJudgedAlone = sound.copy(
+        policy = { state, nowMs ->
+            if (state.reach.asserted) sound.policy.decide(state, nowMs) else serve(nowMs)
+        },
+    )
+
+    val stoppedEntriesForgotten = sound.copy(
+        policy = { state, nowMs ->
+            val live = state.entries.live(state.vms).map { it.entryId }
+            val members = state.entries.members.filterKeys { it in live }
+            val entries = state.entries.copy(members = state.entries.members.clear().putAll(members))
+            sound.policy.decide(state.copy(entries = entries), nowMs)
+        },
+    )
+
+    val writesWithoutHold = sound.copy(
+        permit = permit {
+            it.copy(assertedSinceMs = it.assertedSinceMs?.minus(HOUR_MS))
+        },
+    )
+
+    val writesWithoutIntroduction = sound.copy(
+        permit = { state, nowMs ->
+            val strangers = state.copy(entries = state.entries.copy(members = state.entries.members.clear()))
+            sound.permit.open(strangers, nowMs).map { state.copy(reach = it.reach) }
+        },
+    )
+
+    val withdrawalsDeclaredEarly = sound.copy(
+        status = { state, version, writtenAtMs, nowMs ->
+            WithdrawalStatus.of(state, version, writtenAtMs - ReplicaSettings.WITHDRAWAL_BOUND_MS, nowMs)
+        },
+    )
+
+    val lostAnswersForgotten = sound.copy(settle = DirectoryLog::append)
+
+    val lostAnswersRepeatedBlindly = sound.copy(
+        append = { log, change ->
+            val result = log.append(change)
+            val lost = result.leftOrNull() is AppendFailure.OutcomeUnknown
+            if (lost) AppendFailure.Unavailable("repeated").left() else result
+        },
+    )
+
+    private const val HOUR_MS = 3_600_000L
+
+    private fun serve(nowMs: Long) = AuthorityDecision.Serve(AuthorityBasis.COMMON_OUTAGE, nowMs)
+
+    private fun permit(change: (TablesReach) -> TablesReach) =
+        object : WritePermit {
+            override fun open(state: ReplicaState, nowMs: Long): Either<WriteRefusal, ReplicaState> =
+                sound.permit
+                    .open(state.copy(reach = change(state.reach)), nowMs)
+                    .fold({ it.left() }, { state.copy(reach = state.reach.writeOpened(nowMs)).right() })
+        }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/LosingTables.kt
@@ -0,0 +1,29 @@
+package org.medlarhook.core.fuzz
+
+import arrow.core.Either
+import org.medlarhook.fakes.FaultyTableService
+import org.medlarhook.fakes.TableFault
+import org.medlarhook.platform.Committed
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+
+/** Loses the next transaction or its answer, and leaves the way to the tables in the state [after]. */
+class LosingTables(
+    private val target: FaultyTableService,
+) : TableService by target {
+    private var loss = TableFault.NONE
+    private var after = TableFault.NONE
+
+    fun loseNext(loss: TableFault, after: TableFault) {
+        this.loss = loss
+        this.after = after
+    }
+
+    override fun transact(transaction: Transaction): Either<TableFailure, Committed> {
+        if (loss == TableFault.NONE || target.fault != TableFault.NONE) return target.transact(transaction)
+        target.fault = loss
+        loss = TableFault.NONE
+        return target.transact(transaction).also { target.fault = after }
+    }
+}
--- a/protocol/src/main/java/org/medlarhook/protocol/DirectoryDigest.java
+++ b/protocol/src/main/java/org/medlarhook/protocol/DirectoryDigest.java
@@ -30,6 +30,10 @@
   private DirectoryDigest() {
     entryId_ = "";
     sightings_ = java.util.Collections.emptyList();
+    vmId_ = "";
+    dataCentre_ = "";
+    region_ = "";
+    peerAddress_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -125,7 +129,7 @@
   private boolean reachesTables_ = false;
   /**
    * <pre>
-   * Hash of the sender's membership view, and whether it reaches the tables itself.
+   * False if the sender neither reaches the tables nor has a write of its own open.
    * </pre>
    *
    * <code>bool reaches_tables = 5;</code>
@@ -177,6 +181,170 @@
     return sightings_.get(index);
   }
 
+  public static final int VM_ID_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object vmId_ = "";
+  /**
+   * <pre>
+   * The sender itself, for receivers that don't know it yet.
+   * </pre>
+   *
+   * <code>string vm_id = 7;</code>
+   * @return The vmId.
+   */
+  @java.lang.Override
+  public java.lang.String getVmId() {
+    java.lang.Object ref = vmId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      vmId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The sender itself, for receivers that don't know it yet.
+   * </pre>
+   *
+   * <code>string vm_id = 7;</code>
+   * @return The bytes for vmId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getVmIdBytes() {
+    java.lang.Object ref = vmId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      vmId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int DATA_CENTRE_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object dataCentre_ = "";
+  /**
+   * <code>string data_centre = 8;</code>
+   * @return The dataCentre.
+   */
+  @java.lang.Override
+  public java.lang.String getDataCentre() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      dataCentre_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string data_centre = 8;</code>
+   * @return The bytes for dataCentre.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDataCentreBytes() {
+    java.lang.Object ref = dataCentre_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      dataCentre_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int REGION_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object region_ = "";
+  /**
+   * <code>string region = 9;</code>
+   * @return The region.
+   */
+  @java.lang.Override
+  public java.lang.String getRegion() {
+    java.lang.Object ref = region_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      region_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string region = 9;</code>
+   * @return The bytes for region.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRegionBytes() {
+    java.lang.Object ref = region_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      region_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PEER_ADDRESS_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object peerAddress_ = "";
+  /**
+   * <code>string peer_address = 10;</code>
+   * @return The peerAddress.
+   */
+  @java.lang.Override
+  public java.lang.String getPeerAddress() {
+    java.lang.Object ref = peerAddress_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      peerAddress_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string peer_address = 10;</code>
+   * @return The bytes for peerAddress.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPeerAddressBytes() {
+    java.lang.Object ref = peerAddress_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      peerAddress_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -209,6 +377,18 @@
     for (int i = 0; i < sightings_.size(); i++) {
       output.writeMessage(6, sightings_.get(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vmId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, vmId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 8, dataCentre_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 9, region_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerAddress_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 10, peerAddress_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -241,6 +421,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, sightings_.get(i));
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(vmId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, vmId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(8, dataCentre_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(region_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(9, region_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(peerAddress_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(10, peerAddress_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -268,6 +460,14 @@
         != other.getReachesTables()) return false;
     if (!getSightingsList()
         .equals(other.getSightingsList())) return false;
+    if (!getVmId()
+        .equals(other.getVmId())) return false;
+    if (!getDataCentre()
+        .equals(other.getDataCentre())) return false;
+    if (!getRegion()
+        .equals(other.getRegion())) return false;
+    if (!getPeerAddress()
+        .equals(other.getPeerAddress())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -297,6 +497,14 @@
       hash = (37 * hash) + SIGHTINGS_FIELD_NUMBER;
       hash = (53 * hash) + getSightingsList().hashCode();
     }
+    hash = (37 * hash) + VM_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getVmId().hashCode();
+    hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+    hash = (53 * hash) + getDataCentre().hashCode();
+    hash = (37 * hash) + REGION_FIELD_NUMBER;
+    hash = (53 * hash) + getRegion().hashCode();
+    hash = (37 * hash) + PEER_ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getPeerAddress().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -440,6 +648,10 @@
         sightingsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      vmId_ = "";
+      dataCentre_ = "";
+      region_ = "";
+      peerAddress_ = "";
       return this;
     }
 
@@ -501,6 +713,18 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.reachesTables_ = reachesTables_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.vmId_ = vmId_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.dataCentre_ = dataCentre_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.region_ = region_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.peerAddress_ = peerAddress_;
+      }
     }
 
     @java.lang.Override
@@ -558,6 +782,26 @@
           }
         }
       }
+      if (!other.getVmId().isEmpty()) {
+        vmId_ = other.vmId_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (!other.getDataCentre().isEmpty()) {
+        dataCentre_ = other.dataCentre_;
+        bitField0_ |= 0x00000080;
+        onChanged();
+      }
+      if (!other.getRegion().isEmpty()) {
+        region_ = other.region_;
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      if (!other.getPeerAddress().isEmpty()) {
+        peerAddress_ = other.peerAddress_;
+        bitField0_ |= 0x00000200;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -622,6 +866,26 @@
               }
               break;
             } // case 50
+            case 58: {
+              vmId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 66: {
+              dataCentre_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
+            case 74: {
+              region_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
+            case 82: {
+              peerAddress_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -822,7 +1086,7 @@
     private boolean reachesTables_ ;
     /**
      * <pre>
-     * Hash of the sender's membership view, and whether it reaches the tables itself.
+     * False if the sender neither reaches the tables nor has a write of its own open.
      * </pre>
      *
      * <code>bool reaches_tables = 5;</code>
@@ -834,7 +1098,7 @@
     }
     /**
      * <pre>
-     * Hash of the sender's membership view, and whether it reaches the tables itself.
+     * False if the sender neither reaches the tables nor has a write of its own open.
      * </pre>
      *
      * <code>bool reaches_tables = 5;</code>
@@ -850,7 +1114,7 @@
     }
     /**
      * <pre>
-     * Hash of the sender's membership view, and whether it reaches the tables itself.
+     * False if the sender neither reaches the tables nor has a write of its own open.
      * </pre>
      *
      * <code>bool reaches_tables = 5;</code>
@@ -1103,6 +1367,314 @@
       return sightingsBuilder_;
     }
 
+    private java.lang.Object vmId_ = "";
+    /**
+     * <pre>
+     * The sender itself, for receivers that don't know it yet.
+     * </pre>
+     *
+     * <code>string vm_id = 7;</code>
+     * @return The vmId.
+     */
+    public java.lang.String getVmId() {
+      java.lang.Object ref = vmId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        vmId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The sender itself, for receivers that don't know it yet.
+     * </pre>
+     *
+     * <code>string vm_id = 7;</code>
+     * @return The bytes for vmId.
+     */
+    public com.google.protobuf.ByteString
+        getVmIdBytes() {
+      java.lang.Object ref = vmId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        vmId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The sender itself, for receivers that don't know it yet.
+     * </pre>
+     *
+     * <code>string vm_id = 7;</code>
+     * @param value The vmId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVmId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      vmId_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender itself, for receivers that don't know it yet.
+     * </pre>
+     *
+     * <code>string vm_id = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearVmId() {
+      vmId_ = getDefaultInstance().getVmId();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender itself, for receivers that don't know it yet.
+     * </pre>
+     *
+     * <code>string vm_id = 7;</code>
+     * @param value The bytes for vmId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setVmIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      vmId_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 8;</code>
+     * @return The dataCentre.
+     */
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string data_centre = 8;</code>
+     * @return The bytes for dataCentre.
+     */
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string data_centre = 8;</code>
+     * @param value The dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentre(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      dataCentre_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string data_centre = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentre() {
+      dataCentre_ = getDefaultInstance().getDataCentre();
+      bitField0_ = (bitField0_ & ~0x00000080);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string data_centre = 8;</code>
+     * @param value The bytes for dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      dataCentre_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object region_ = "";
+    /**
+     * <code>string region = 9;</code>
+     * @return The region.
+     */
+    public java.lang.String getRegion() {
+      java.lang.Object ref = region_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        region_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string region = 9;</code>
+     * @return The bytes for region.
+     */
+    public com.google.protobuf.ByteString
+        getRegionBytes() {
+      java.lang.Object ref = region_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        region_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string region = 9;</code>
+     * @param value The region to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRegion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      region_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string region = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRegion() {
+      region_ = getDefaultInstance().getRegion();
+      bitField0_ = (bitField0_ & ~0x00000100);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string region = 9;</code>
+     * @param value The bytes for region to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRegionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      region_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object peerAddress_ = "";
+    /**
+     * <code>string peer_address = 10;</code>
+     * @return The peerAddress.
+     */
+    public java.lang.String getPeerAddress() {
+      java.lang.Object ref = peerAddress_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        peerAddress_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string peer_address = 10;</code>
+     * @return The bytes for peerAddress.
+     */
+    public com.google.protobuf.ByteString
+        getPeerAddressBytes() {
+      java.lang.Object ref = peerAddress_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        peerAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string peer_address = 10;</code>
+     * @param value The peerAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPeerAddress(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      peerAddress_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string peer_address = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPeerAddress() {
+      peerAddress_ = getDefaultInstance().getPeerAddress();
+      bitField0_ = (bitField0_ & ~0x00000200);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string peer_address = 10;</code>
+     * @param value The bytes for peerAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPeerAddressBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      peerAddress_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:medlarhook.inner.v1.DirectoryDigest)
   }
 
--- a/protocol/src/main/java/org/medlarhook/protocol/DirectoryDigestOrBuilder.java
+++ b/protocol/src/main/java/org/medlarhook/protocol/DirectoryDigestOrBuilder.java
@@ -46,7 +46,7 @@
 
   /**
    * <pre>
-   * Hash of the sender's membership view, and whether it reaches the tables itself.
+   * False if the sender neither reaches the tables nor has a write of its own open.
    * </pre>
    *
    * <code>bool reaches_tables = 5;</code>
@@ -77,4 +77,60 @@
    */
   org.medlarhook.protocol.EntrySightingOrBuilder getSightingsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The sender itself, for receivers that don't know it yet.
+   * </pre>
+   *
+   * <code>string vm_id = 7;</code>
+   * @return The vmId.
+   */
+  java.lang.String getVmId();
+  /**
+   * <pre>
+   * The sender itself, for receivers that don't know it yet.
+   * </pre>
+   *
+   * <code>string vm_id = 7;</code>
+   * @return The bytes for vmId.
+   */
+  com.google.protobuf.ByteString
+      getVmIdBytes();
+
+  /**
+   * <code>string data_centre = 8;</code>
+   * @return The dataCentre.
+   */
+  java.lang.String getDataCentre();
+  /**
+   * <code>string data_centre = 8;</code>
+   * @return The bytes for dataCentre.
+   */
+  com.google.protobuf.ByteString
+      getDataCentreBytes();
+
+  /**
+   * <code>string region = 9;</code>
+   * @return The region.
+   */
+  java.lang.String getRegion();
+  /**
+   * <code>string region = 9;</code>
+   * @return The bytes for region.
+   */
+  com.google.protobuf.ByteString
+      getRegionBytes();
+
+  /**
+   * <code>string peer_address = 10;</code>
+   * @return The peerAddress.
+   */
+  java.lang.String getPeerAddress();
+  /**
+   * <code>string peer_address = 10;</code>
+   * @return The bytes for peerAddress.
+   */
+  com.google.protobuf.ByteString
+      getPeerAddressBytes();
 }
--- a/protocol/src/main/java/org/medlarhook/protocol/Inner.java
+++ b/protocol/src/main/java/org/medlarhook/protocol/Inner.java
@@ -221,68 +221,71 @@
       "fill_tokens_per_s\030\005 \001(\001\022\033\n\023decode_tokens" +
       "_per_s\030\006 \001(\001\022\r\n\005slots\030\007 \001(\r\">\n\013LoadedMod" +
       "el\022\r\n\005model\030\001 \001(\t\022\017\n\007adapter\030\002 \001(\t\022\017\n\007ve" +
-      "rsion\030\003 \001(\t\"\237\002\n\016UpstreamStatus\022\023\n\013upstre" +
+      "rsion\030\003 \001(\t\"\263\002\n\016UpstreamStatus\022\023\n\013upstre" +
       "am_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022/\n\004role" +
       "\030\003 \001(\0162!.medlarhook.inner.v1.UpstreamRol" +
       "e\022\021\n\taccepting\030\004 \001(\010\022\020\n\010draining\030\005 \001(\010\022/" +
       "\n\004load\030\006 \001(\0132!.medlarhook.inner.v1.Upstr" +
       "eamLoad\0220\n\006models\030\007 \003(\0132 .medlarhook.inn" +
       "er.v1.LoadedModel\022\020\n\010services\030\010 \003(\t\022\030\n\020o" +
-      "rder_generation\030\t \001(\004\"4\n\tOrderHint\022\023\n\013up" +
-      "stream_id\030\001 \001(\t\022\022\n\ngeneration\030\002 \001(\004\"*\n\014O" +
-      "rderHintAck\022\032\n\022applied_generation\030\001 \001(\004\"" +
-      "\357\001\n\007Receipt\022\023\n\013upstream_id\030\001 \001(\t\022\023\n\013inca" +
-      "rnation\030\002 \001(\004\022\020\n\010sequence\030\003 \001(\004\022\021\n\tworks" +
-      "pace\030\004 \001(\t\022\022\n\nrequest_id\030\005 \001(\t\022\022\n\nattemp" +
-      "t_id\030\006 \001(\t\022\020\n\010resource\030\007 \001(\t\022\025\n\rprompt_t" +
-      "okens\030\010 \001(\004\022\025\n\routput_tokens\030\t \001(\004\022\025\n\rse" +
-      "rvice_calls\030\n \001(\004\022\026\n\016finished_at_ms\030\013 \001(" +
-      "\004\"M\n\017ReceiptsRequest\022\023\n\013incarnation\030\001 \001(" +
-      "\004\022\026\n\016after_sequence\030\002 \001(\004\022\r\n\005limit\030\003 \001(\r" +
-      "\"h\n\014ReceiptsPage\022\023\n\013upstream_id\030\001 \001(\t\022\023\n" +
-      "\013incarnation\030\002 \001(\004\022.\n\010receipts\030\003 \003(\0132\034.m" +
-      "edlarhook.inner.v1.Receipt\"Q\n\013ReceiptsAc" +
-      "k\022\023\n\013upstream_id\030\001 \001(\t\022\023\n\013incarnation\030\002 " +
-      "\001(\004\022\030\n\020covered_sequence\030\003 \001(\004\"\254\001\n\017Direct" +
-      "oryDigest\022\020\n\010entry_id\030\001 \001(\t\022\017\n\007version\030\002" +
-      " \001(\004\022\023\n\013news_age_ms\030\003 \001(\004\022\022\n\nknows_news\030" +
-      "\004 \001(\010\022\026\n\016reaches_tables\030\005 \001(\010\0225\n\tsightin" +
-      "gs\030\006 \003(\0132\".medlarhook.inner.v1.EntrySigh" +
-      "ting\"I\n\rEntrySighting\022\020\n\010entry_id\030\001 \001(\t\022" +
-      "\016\n\006age_ms\030\002 \001(\004\022\026\n\016reaches_tables\030\003 \001(\010\"" +
-      "6\n\016ChangesRequest\022\025\n\rafter_version\030\001 \001(\004" +
-      "\022\r\n\005limit\030\002 \001(\r\"\\\n\013ChangesPage\022<\n\007change" +
-      "s\030\001 \003(\0132+.medlarhook.inner.v1.DirectoryC" +
-      "hangeMessage\022\017\n\007version\030\002 \001(\004\"7\n\026Directo" +
-      "ryChangeMessage\022\017\n\007version\030\001 \001(\004\022\014\n\004json" +
-      "\030\002 \001(\t*H\n\010RunState\022\031\n\025RUN_STATE_UNSPECIF" +
-      "IED\020\000\022\007\n\003RUN\020\001\022\013\n\007NOT_RUN\020\002\022\013\n\007UNKNOWN\020\003" +
-      "*U\n\014UpstreamRole\022\024\n\020ROLE_UNSPECIFIED\020\000\022\t" +
-      "\n\005MIXED\020\001\022\013\n\007PREFILL\020\002\022\n\n\006DECODE\020\003\022\013\n\007SE" +
-      "RVICE\020\004*f\n\014AttemptState\022\035\n\031ATTEMPT_STATE" +
-      "_UNSPECIFIED\020\000\022\n\n\006SEALED\020\001\022\013\n\007RUNNING\020\002\022" +
-      "\014\n\010FINISHED\020\003\022\020\n\014UNDETERMINED\020\0042\206\004\n\016Side" +
-      "carService\022V\n\010Generate\022$.medlarhook.inne" +
-      "r.v1.GenerateRequest\032\".medlarhook.inner." +
-      "v1.GenerateEvent0\001\022S\n\013CallService\022 .medl" +
-      "arhook.inner.v1.ServiceCall\032\".medlarhook" +
-      ".inner.v1.ServiceAnswer\022I\n\004Seal\022 .medlar" +
-      "hook.inner.v1.SealRequest\032\037.medlarhook.i" +
-      "nner.v1.SealAnswer\022Q\n\005Watch\022!.medlarhook" +
-      ".inner.v1.WatchRequest\032#.medlarhook.inne" +
-      "r.v1.UpstreamStatus0\001\022P\n\013NotifyOrder\022\036.m" +
-      "edlarhook.inner.v1.OrderHint\032!.medlarhoo" +
-      "k.inner.v1.OrderHintAck\022W\n\014PullReceipts\022" +
-      "$.medlarhook.inner.v1.ReceiptsRequest\032!." +
-      "medlarhook.inner.v1.ReceiptsPage2\231\002\n\014Ent" +
-      "ryService\022\\\n\016ExchangeDigest\022$.medlarhook" +
-      ".inner.v1.DirectoryDigest\032$.medlarhook.i" +
-      "nner.v1.DirectoryDigest\022U\n\014FetchChanges\022" +
-      "#.medlarhook.inner.v1.ChangesRequest\032 .m" +
-      "edlarhook.inner.v1.ChangesPage\022T\n\rOfferR" +
-      "eceipts\022!.medlarhook.inner.v1.ReceiptsPa" +
-      "ge\032 .medlarhook.inner.v1.ReceiptsAckB\033\n\027" +
-      "org.medlarhook.protocolP\001b\006proto3"
+      "rder_generation\030\t \001(\004\022\022\n\nsent_at_ms\030\n \001(" +
+      "\004\"4\n\tOrderHint\022\023\n\013upstream_id\030\001 \001(\t\022\022\n\ng" +
+      "eneration\030\002 \001(\004\"*\n\014OrderHintAck\022\032\n\022appli" +
+      "ed_generation\030\001 \001(\004\"\357\001\n\007Receipt\022\023\n\013upstr" +
+      "eam_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\020\n\010seq" +
+      "uence\030\003 \001(\004\022\021\n\tworkspace\030\004 \001(\t\022\022\n\nreques" +
+      "t_id\030\005 \001(\t\022\022\n\nattempt_id\030\006 \001(\t\022\020\n\010resour" +
+      "ce\030\007 \001(\t\022\025\n\rprompt_tokens\030\010 \001(\004\022\025\n\routpu" +
+      "t_tokens\030\t \001(\004\022\025\n\rservice_calls\030\n \001(\004\022\026\n" +
+      "\016finished_at_ms\030\013 \001(\004\"M\n\017ReceiptsRequest" +
+      "\022\023\n\013incarnation\030\001 \001(\004\022\026\n\016after_sequence\030" +
+      "\002 \001(\004\022\r\n\005limit\030\003 \001(\r\"h\n\014ReceiptsPage\022\023\n\013" +
+      "upstream_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022." +
+      "\n\010receipts\030\003 \003(\0132\034.medlarhook.inner.v1.R" +
+      "eceipt\"Q\n\013ReceiptsAck\022\023\n\013upstream_id\030\001 \001" +
+      "(\t\022\023\n\013incarnation\030\002 \001(\004\022\030\n\020covered_seque" +
+      "nce\030\003 \001(\004\"\366\001\n\017DirectoryDigest\022\020\n\010entry_i" +
+      "d\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\023\n\013news_age_ms\030" +
+      "\003 \001(\004\022\022\n\nknows_news\030\004 \001(\010\022\026\n\016reaches_tab" +
+      "les\030\005 \001(\010\0225\n\tsightings\030\006 \003(\0132\".medlarhoo" +
+      "k.inner.v1.EntrySighting\022\r\n\005vm_id\030\007 \001(\t\022" +
+      "\023\n\013data_centre\030\010 \001(\t\022\016\n\006region\030\t \001(\t\022\024\n\014" +
+      "peer_address\030\n \001(\t\"I\n\rEntrySighting\022\020\n\010e" +
+      "ntry_id\030\001 \001(\t\022\016\n\006age_ms\030\002 \001(\004\022\026\n\016reaches" +
+      "_tables\030\003 \001(\010\"6\n\016ChangesRequest\022\025\n\rafter" +
+      "_version\030\001 \001(\004\022\r\n\005limit\030\002 \001(\r\"\\\n\013Changes" +
+      "Page\022<\n\007changes\030\001 \003(\0132+.medlarhook.inner" +
+      ".v1.DirectoryChangeMessage\022\017\n\007version\030\002 " +
+      "\001(\004\"7\n\026DirectoryChangeMessage\022\017\n\007version" +
+      "\030\001 \001(\004\022\014\n\004json\030\002 \001(\t*H\n\010RunState\022\031\n\025RUN_" +
+      "STATE_UNSPECIFIED\020\000\022\007\n\003RUN\020\001\022\013\n\007NOT_RUN\020" +
+      "\002\022\013\n\007UNKNOWN\020\003*U\n\014UpstreamRole\022\024\n\020ROLE_U" +
+      "NSPECIFIED\020\000\022\t\n\005MIXED\020\001\022\013\n\007PREFILL\020\002\022\n\n\006" +
+      "DECODE\020\003\022\013\n\007SERVICE\020\004*f\n\014AttemptState\022\035\n" +
+      "\031ATTEMPT_STATE_UNSPECIFIED\020\000\022\n\n\006SEALED\020\001" +
+      "\022\013\n\007RUNNING\020\002\022\014\n\010FINISHED\020\003\022\020\n\014UNDETERMI" +
+      "NED\020\0042\206\004\n\016SidecarService\022V\n\010Generate\022$.m" +
+      "edlarhook.inner.v1.GenerateRequest\032\".med" +
+      "larhook.inner.v1.GenerateEvent0\001\022S\n\013Call" +
+      "Service\022 .medlarhook.inner.v1.ServiceCal" +
+      "l\032\".medlarhook.inner.v1.ServiceAnswer\022I\n" +
+      "\004Seal\022 .medlarhook.inner.v1.SealRequest\032" +
+      "\037.medlarhook.inner.v1.SealAnswer\022Q\n\005Watc" +
+      "h\022!.medlarhook.inner.v1.WatchRequest\032#.m" +
+      "edlarhook.inner.v1.UpstreamStatus0\001\022P\n\013N" +
+      "otifyOrder\022\036.medlarhook.inner.v1.OrderHi" +
+      "nt\032!.medlarhook.inner.v1.OrderHintAck\022W\n" +
+      "\014PullReceipts\022$.medlarhook.inner.v1.Rece" +
+      "iptsRequest\032!.medlarhook.inner.v1.Receip" +
+      "tsPage2\231\002\n\014EntryService\022\\\n\016ExchangeDiges" +
+      "t\022$.medlarhook.inner.v1.DirectoryDigest\032" +
+      "$.medlarhook.inner.v1.DirectoryDigest\022U\n" +
+      "\014FetchChanges\022#.medlarhook.inner.v1.Chan" +
+      "gesRequest\032 .medlarhook.inner.v1.Changes" +
+      "Page\022T\n\rOfferReceipts\022!.medlarhook.inner" +
+      ".v1.ReceiptsPage\032 .medlarhook.inner.v1.R" +
+      "eceiptsAckB\033\n\027org.medlarhook.protocolP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -383,7 +386,7 @@
     internal_static_medlarhook_inner_v1_UpstreamStatus_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_medlarhook_inner_v1_UpstreamStatus_descriptor,
-        new java.lang.String[] { "UpstreamId", "Incarnation", "Role", "Accepting", "Draining", "Load", "Models", "Services", "OrderGeneration", });
+        new java.lang.String[] { "UpstreamId", "Incarnation", "Role", "Accepting", "Draining", "Load", "Models", "Services", "OrderGeneration", "SentAtMs", });
     internal_static_medlarhook_inner_v1_OrderHint_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_medlarhook_inner_v1_OrderHint_fieldAccessorTable = new
@@ -425,7 +428,7 @@
     internal_static_medlarhook_inner_v1_DirectoryDigest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_medlarhook_inner_v1_DirectoryDigest_descriptor,
-        new java.lang.String[] { "EntryId", "Version", "NewsAgeMs", "KnowsNews", "ReachesTables", "Sightings", });
+        new java.lang.String[] { "EntryId", "Version", "NewsAgeMs", "KnowsNews", "ReachesTables", "Sightings", "VmId", "DataCentre", "Region", "PeerAddress", });
     internal_static_medlarhook_inner_v1_EntrySighting_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_medlarhook_inner_v1_EntrySighting_fieldAccessorTable = new
--- a/protocol/src/main/java/org/medlarhook/protocol/UpstreamStatus.java
+++ b/protocol/src/main/java/org/medlarhook/protocol/UpstreamStatus.java
@@ -258,6 +258,21 @@
     return orderGeneration_;
   }
 
+  public static final int SENT_AT_MS_FIELD_NUMBER = 10;
+  private long sentAtMs_ = 0L;
+  /**
+   * <pre>
+   * The sidecar's monotonic clock when it sent this.
+   * </pre>
+   *
+   * <code>uint64 sent_at_ms = 10;</code>
+   * @return The sentAtMs.
+   */
+  @java.lang.Override
+  public long getSentAtMs() {
+    return sentAtMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -299,6 +314,9 @@
     if (orderGeneration_ != 0L) {
       output.writeUInt64(9, orderGeneration_);
     }
+    if (sentAtMs_ != 0L) {
+      output.writeUInt64(10, sentAtMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -347,6 +365,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(9, orderGeneration_);
     }
+    if (sentAtMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(10, sentAtMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -382,6 +404,8 @@
         .equals(other.getServicesList())) return false;
     if (getOrderGeneration()
         != other.getOrderGeneration()) return false;
+    if (getSentAtMs()
+        != other.getSentAtMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -421,6 +445,9 @@
     hash = (37 * hash) + ORDER_GENERATION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getOrderGeneration());
+    hash = (37 * hash) + SENT_AT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAtMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -579,6 +606,7 @@
       services_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       orderGeneration_ = 0L;
+      sentAtMs_ = 0L;
       return this;
     }
 
@@ -654,6 +682,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.orderGeneration_ = orderGeneration_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.sentAtMs_ = sentAtMs_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -728,6 +759,9 @@
       if (other.getOrderGeneration() != 0L) {
         setOrderGeneration(other.getOrderGeneration());
       }
+      if (other.getSentAtMs() != 0L) {
+        setSentAtMs(other.getSentAtMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -810,6 +844,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              sentAtMs_ = input.readUInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1562,6 +1601,50 @@
       return this;
     }
 
+    private long sentAtMs_ ;
+    /**
+     * <pre>
+     * The sidecar's monotonic clock when it sent this.
+     * </pre>
+     *
+     * <code>uint64 sent_at_ms = 10;</code>
+     * @return The sentAtMs.
+     */
+    @java.lang.Override
+    public long getSentAtMs() {
+      return sentAtMs_;
+    }
+    /**
+     * <pre>
+     * The sidecar's monotonic clock when it sent this.
+     * </pre>
+     *
+     * <code>uint64 sent_at_ms = 10;</code>
+     * @param value The sentAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAtMs(long value) {
+
+      sentAtMs_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sidecar's monotonic clock when it sent this.
+     * </pre>
+     *
+     * <code>uint64 sent_at_ms = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAtMs() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      sentAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:medlarhook.inner.v1.UpstreamStatus)
   }
 
--- a/protocol/src/main/java/org/medlarhook/protocol/UpstreamStatusOrBuilder.java
+++ b/protocol/src/main/java/org/medlarhook/protocol/UpstreamStatusOrBuilder.java
@@ -124,4 +124,14 @@
    * @return The orderGeneration.
    */
   long getOrderGeneration();
+
+  /**
+   * <pre>
+   * The sidecar's monotonic clock when it sent this.
+   * </pre>
+   *
+   * <code>uint64 sent_at_ms = 10;</code>
+   * @return The sentAtMs.
+   */
+  long getSentAtMs();
 }
