--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/usage/UsageBookTest.kt
@@ -0,0 +1,87 @@
+package org.medlarhook.core.usage
+
+import org.junit.jupiter.api.Nested
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class UsageBookTest {
+    private val settings = UsageSettings(windowMs = 100, freezeAfterMs = 10, sourceRetentionMs = 1_000)
+    private val source = ReceiptSource("u1", 1)
+    private val empty = UsageBook(UsageHeadRow(openWindowStartMs = 1_000))
+
+    private fun receipt(sequence: Long, finishedAtMs: Long, source: ReceiptSource = this.source) =
+        UsageReceipt(
+            source,
+            sequence,
+            "w",
+            "verdict-lm",
+            promptTokens = 10,
+            outputTokens = 1,
+            finishedAtMs = finishedAtMs,
+        )
+
+    private fun UsageBook.with(vararg receipts: UsageReceipt, wallMs: Long = 1_050): UsageBook =
+        plus(batchOf(receipts.toList(), wallMs, settings), head)
+
+    @Nested
+    inner class Collect {
+        @Test
+        fun `Given a receipt twice in a page and again later, then it counts once`() {
+            val book = empty.with(receipt(1, 1_010), receipt(1, 1_010), receipt(2, 1_020)).with(receipt(2, 1_020))
+            assertEquals(UsageAmount(promptTokens = 20, outputTokens = 2), book.amounts.values.single())
+            assertEquals(SequenceSet(2), book.committed(source))
+        }
+
+        @Test
+        fun `Given a gap, then the watermark stays below it and the rest is known`() {
+            val book = empty.with(receipt(1, 1_010), receipt(3, 1_010))
+            assertEquals(SequenceSet(1, setOf(3)), book.committed(source))
+            assertEquals(SequenceSet(3), book.with(receipt(2, 1_010)).committed(source))
+        }
+
+        @Test
+        fun `Given usage of a frozen window, then the open window names it as a correction`() {
+            val line = empty.with(receipt(1, 950)).report("s", settings).lines.single()
+            assertEquals(900, line.correctionOfWindowStartMs)
+        }
+
+        @Test
+        fun `Given a clock that is ahead, then usage counts no later than the collector's present window`() {
+            assertEquals(1_000, empty.with(receipt(1, 5_000)).amounts.keys.single().windowStartMs)
+        }
+    }
+
+    @Nested
+    inner class Compact {
+        @Test
+        fun `Given a sidecar replaced long ago, then its receipts are refused from then on`() {
+            val book = empty.with(receipt(1, 1_010)).with(receipt(1, 1_010, ReceiptSource("u1", 2)), wallMs = 2_500)
+            val compacted = UsageBook(empty.head).plus(book.compacted(wallMs = 2_500, settings), empty.head)
+            assertEquals(setOf(ReceiptSource("u1", 2)), compacted.progress.keys)
+            assertEquals(book.amounts, compacted.with(receipt(1, 1_010), receipt(2, 1_010)).amounts)
+        }
+    }
+
+    @Nested
+    inner class Copies {
+        @Test
+        fun `Given a committed page with a gap below it, then its copies go and the others stay`() {
+            val buffer = EntryReceiptBuffer(capacity = 3)
+            listOf(1L, 3L, 5L).forEach { buffer.keep(receipt(it, 0)) }
+            assertEquals(false, buffer.hasRoom(inFlight = 0))
+            buffer.committed(listOf(receipt(3, 0)))
+            buffer.cover(source, 1)
+            assertEquals(listOf(5L), buffer.page(source, 9).map { it.sequence })
+        }
+
+        @Test
+        fun `Given a watermark of another incarnation, then the ledger keeps its receipts`() {
+            val ledger = ReceiptLedger(source, capacity = 2)
+            repeat(2) { ledger.append(receipt(0, 0)) }
+            ledger.cover(incarnation = 2, sequence = 2)
+            assertEquals(listOf(1L, 2L), ledger.page(0, 9).map { it.sequence })
+            ledger.cover(incarnation = 1, sequence = 1)
+            assertEquals(listOf(2L), ledger.page(0, 9).map { it.sequence })
+        }
+    }
+}
