--- a/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
@@ -1,6 +1,45 @@
 package org.medlarhook.cli
 
-/** Starts the program. */
-fun main() {
-    println("cli")
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import org.medlarhook.cli.command.EntryCommand
+import org.medlarhook.cli.command.ReportCommand
+import org.medlarhook.cli.command.SidecarCommand
+import org.medlarhook.cli.command.StateCommand
+import org.medlarhook.cli.command.UpstreamsCommand
+import org.medlarhook.cli.command.VersionCommand
+import org.medlarhook.cli.command.WorkspaceCommand
+import org.medlarhook.cli.command.configCommand
+import org.medlarhook.cli.command.keyCommand
+import org.medlarhook.cli.command.settingsCommand
+
+private const val PROGRAM = "medlarhook"
+
+/** Runs one role of the system, or one command of the operators' client. */
+fun main(args: Array<String>) {
+    val groups = listOf(settingsCommand(), configCommand(), keyCommand())
+    val group = groups.firstOrNull { it.name == args.firstOrNull() }
+    if (group != null) {
+        group.run(PROGRAM, args.drop(1).toTypedArray())
+    } else {
+        runCommand(args, groups.map { it.listing() })
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private fun runCommand(args: Array<String>, listings: List<Subcommand>) {
+    val parser = ArgParser(PROGRAM, prefixStyle = ArgParser.OptionPrefixStyle.GNU)
+    val commands =
+        listOf(
+            EntryCommand(),
+            SidecarCommand(),
+            WorkspaceCommand(),
+            UpstreamsCommand(),
+            StateCommand(),
+            ReportCommand(),
+            VersionCommand(),
+        )
+    (commands + listings).forEach { parser.subcommands(it) }
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapter.kt
@@ -0,0 +1,44 @@
+package org.medlarhook.sidecar.engine
+
+import kotlinx.serialization.json.Json
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.runtime.settings.EngineSettings
+import org.medlarhook.sidecar.http.SendProgress
+import org.medlarhook.sidecar.http.SingleSendClient
+import java.time.Duration
+
+/** An engine over HTTP that streams one JSON object a line. */
+internal class HttpEngineAdapter(
+    private val settings: EngineSettings,
+    private val time: TimeSource,
+) : EngineAdapter {
+    private val client =
+        SingleSendClient
+            .create(settings.connectTimeoutMs)
+            .newBuilder()
+            .readTimeout(Duration.ofMillis(settings.firstByteTimeoutMs))
+            .build()
+
+    override fun prepare(request: EngineRequest, deadlineMs: Long): EngineCall {
+        val body = Json.encodeToString(EngineRequest.serializer(), request).toRequestBody(JSON_TYPE)
+        val progress = SendProgress()
+        val call =
+            client
+                .newBuilder()
+                .eventListener(progress)
+                .callTimeout(Duration.ofMillis(maxOf(1, deadlineMs - time.monotonicMs())))
+                .build()
+                .newCall(Request.Builder().url("${settings.url}/generate").post(body).build())
+        return HttpEngineCall(call, request, progress, settings.betweenTokenTimeoutMs) {
+            time.monotonicMs() >=
+                deadlineMs
+        }
+    }
+
+    private companion object {
+        val JSON_TYPE = "application/json".toMediaType()
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
@@ -0,0 +1,93 @@
+package org.medlarhook.sidecar.rpc
+
+import io.grpc.stub.ServerCallStreamObserver
+import io.grpc.stub.StreamObserver
+import org.medlarhook.core.result.Failure
+import org.medlarhook.core.result.ResultCode
+import org.medlarhook.core.result.RunState
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.AttemptState
+import org.medlarhook.protocol.GenerateEvent
+import org.medlarhook.protocol.GenerateRequest
+import org.medlarhook.protocol.ReceiptsPage
+import org.medlarhook.protocol.ReceiptsRequest
+import org.medlarhook.protocol.SealAnswer
+import org.medlarhook.protocol.SealRequest
+import org.medlarhook.protocol.ServiceAnswer
+import org.medlarhook.protocol.ServiceCall
+import org.medlarhook.protocol.SidecarServiceGrpc
+import org.medlarhook.protocol.UpstreamStatus
+import org.medlarhook.protocol.WatchRequest
+import org.medlarhook.sidecar.Serving
+import org.medlarhook.sidecar.attempt.GenerateTask
+import org.medlarhook.sidecar.attempt.ServiceTask
+import org.medlarhook.sidecar.engine.EngineAdapter
+import org.medlarhook.sidecar.operators.SidecarMetrics
+import org.medlarhook.sidecar.service.ServiceAdapter
+import org.medlarhook.sidecar.status.StatusHub
+
+/** Answers the calls of entries. No function blocks: attempts run on workers. */
+internal class SidecarRpc(
+    private val serving: () -> Serving?,
+    private val hub: StatusHub,
+    private val engine: EngineAdapter?,
+    private val service: ServiceAdapter?,
+    private val metrics: SidecarMetrics,
+    private val time: TimeSource,
+) : SidecarServiceGrpc.SidecarServiceImplBase() {
+    override fun generate(request: GenerateRequest, responses: StreamObserver<GenerateEvent>) {
+        val present = serving()
+        val observer = responses as ServerCallStreamObserver<GenerateEvent>
+        val stream = EventStream(observer) { present?.runner?.cancel(request.attemptId) }
+        if (present == null || engine == null) {
+            stream.end(GenerateEvent.newBuilder().setRefusal(notServing(present, ResultCode.UNKNOWN_MODEL).toRefusal()))
+            return
+        }
+        val task = GenerateTask(request, stream, engine, present.dispatcher, present.receipts, metrics, time)
+        present.runner.submit(task, request.incarnation)
+    }
+
+    override fun callService(call: ServiceCall, responses: StreamObserver<ServiceAnswer>) {
+        val present = serving()
+        val observer = responses as ServerCallStreamObserver<ServiceAnswer>
+        val answer = SingleAnswer(observer) { present?.runner?.cancel(call.attemptId) }
+        if (present == null || service == null) {
+            val refusal = notServing(present, ResultCode.UNKNOWN_SERVICE).toRefusal()
+            answer.give(ServiceAnswer.newBuilder().setRefusal(refusal).build())
+            return
+        }
+        val task = ServiceTask(call, answer, service, present.dispatcher, present.receipts, time)
+        present.runner.submit(task, call.incarnation)
+    }
+
+    override fun seal(request: SealRequest, responses: StreamObserver<SealAnswer>) {
+        val answer = serving()?.runner?.seal(request.attemptId, request.incarnation) ?: undetermined()
+        responses.onNext(answer)
+        responses.onCompleted()
+    }
+
+    override fun watch(request: WatchRequest, responses: StreamObserver<UpstreamStatus>) {
+        hub.add(responses as ServerCallStreamObserver<UpstreamStatus>)
+    }
+
+    override fun pullReceipts(request: ReceiptsRequest, responses: StreamObserver<ReceiptsPage>) {
+        val present = serving()?.takeIf { it.incarnation == request.incarnation }
+        val limit = request.limit.coerceIn(1, MAX_RECEIPTS)
+        responses.onNext(present?.receipts?.page(request.afterSequence, limit) ?: ReceiptsPage.getDefaultInstance())
+        responses.onCompleted()
+    }
+
+    private fun notServing(present: Serving?, code: ResultCode): Failure =
+        if (present == null) {
+            Failure(ResultCode.NO_UPSTREAM, RunState.NOT_RUN, "not registered yet", RETRY_AFTER_MS)
+        } else {
+            Failure(code, RunState.NOT_RUN)
+        }
+
+    private fun undetermined(): SealAnswer = SealAnswer.newBuilder().setState(AttemptState.UNDETERMINED).build()
+
+    private companion object {
+        const val MAX_RECEIPTS = 1_000
+        const val RETRY_AFTER_MS = 1_000L
+    }
+}
