--- a/harness/src/main/kotlin/org/medlarhook/harness/FleetPlan.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/FleetPlan.kt
@@ -67,6 +67,11 @@
         services += service
     }
 
+    /** Adds [count] booking services under [service]. */
+    public fun services(service: String, count: Int) {
+        repeat(count) { service(service) }
+    }
+
     internal fun build() = DataCentrePlan(name, region, entries, engines.toList(), services.toList())
 
     private companion object {
