Test the sidecar's failures with real processes

Cause: stops, pauses, silent and crashing engines and dropped service connections were untested at process level.

Found and mended: a sidecar paused for longer than the engine's silence limit cut its streams at SIGCONT, as OkHttp's watchdog closes the socket before what had arrived is read. Silence is now counted in ticks of the process itself.

Ruled out: longer socket timeouts, which only move the bound.

Change: SilenceWatch in place of socket read timeouts; Fleet takes a change of the sidecar's settings; ManagedProcess tells the exit status.

--- a/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
@@ -53,8 +53,13 @@
         return node
     }
 
-    /** Starts an engine with its sidecar. */
-    public fun startEngine(dataCentre: String, region: String, plan: EnginePlan): UpstreamNode {
+    /** Starts an engine with its sidecar, whose settings [configure] may change. */
+    public fun startEngine(
+        dataCentre: String,
+        region: String,
+        plan: EnginePlan,
+        configure: (SidecarSettings) -> SidecarSettings = { it },
+    ): UpstreamNode {
         val id = "upstream-${upstreams.size + 1}"
         val port = FreePorts.next()
         val engine =
@@ -78,19 +83,32 @@
                 prefillTokensPerS = plan.prefillTokensPerS,
                 decodeTokensPerS = plan.decodeTokensPerS,
             )
-        return startSidecar(id, dataCentre, region, engine, url(port)) { it.copy(engine = settings) }
+        return startSidecar(id, dataCentre, region, engine, url(port)) {
+            configure(it.copy(engine = settings))
+        }
     }
 
-    /** Starts a booking service with its sidecar. */
-    public fun startService(dataCentre: String, region: String, service: String): UpstreamNode {
+    /** Starts a booking service with its sidecar, whose settings [configure] may change. */
+    public fun startService(
+        dataCentre: String,
+        region: String,
+        service: String,
+        configure: (SidecarSettings) -> SidecarSettings = { it },
+    ): UpstreamNode {
         val id = "upstream-${upstreams.size + 1}"
         val port = FreePorts.next()
         val command = listOf(binaries.standIns.toString(), "service", "--port=$port")
         val process = launch("$id-service", command)
         val settings = ServiceSettings(url(port), listOf(service))
-        return startSidecar(id, dataCentre, region, process, url(port)) { it.copy(service = settings) }
+        return startSidecar(id, dataCentre, region, process, url(port)) {
+            configure(it.copy(service = settings))
+        }
     }
 
+    /** Starts one more sidecar process with the settings of [node], as after a restart. */
+    public fun startSidecarAgain(node: UpstreamNode): ManagedProcess =
+        launchRole("sidecar", node.settings.upstreamId, node.settings, SidecarSettings.serializer())
+
     /** Stops all processes that run. */
     override fun close() {
         processes.reversed().forEach { it.resume() }
--- a/harness/src/main/kotlin/org/medlarhook/harness/ManagedProcess.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/ManagedProcess.kt
@@ -16,6 +16,16 @@
     public val isAlive: Boolean
         get() = process.isAlive
 
+    /** The exit status, or null while the process runs. */
+    public val exitCode: Int?
+        get() = if (process.isAlive) null else process.exitValue()
+
+    /** Waits up to [timeoutMs] for the process to end by itself; true if it has. */
+    public fun awaitExit(timeoutMs: Long): Boolean = process.waitFor(timeoutMs, TimeUnit.MILLISECONDS)
+
+    /** Sends SIGTERM without waiting. */
+    public fun requestStop(): Unit = process.destroy()
+
     /** Asks for a graceful shutdown (SIGTERM) and waits up to [timeoutMs]; true if the process has ended. */
     public fun terminate(timeoutMs: Long = STOP_TIMEOUT_MS): Boolean {
         process.destroy()
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -19,6 +19,7 @@
 import org.medlarhook.runtime.settings.SidecarSettings
 import org.medlarhook.sidecar.attempt.AttemptRunner
 import org.medlarhook.sidecar.engine.HttpEngineAdapter
+import org.medlarhook.sidecar.engine.SilenceWatch
 import org.medlarhook.sidecar.health.HealthMonitor
 import org.medlarhook.sidecar.lifecycle.GracefulStop
 import org.medlarhook.sidecar.lifecycle.Workers
@@ -63,7 +64,7 @@
         SidecarRpc(
             serving = { serving },
             hub = hub,
-            engine = settings.engine?.let { HttpEngineAdapter(it, time) },
+            engine = settings.engine?.let { HttpEngineAdapter(it, SilenceWatch(timer), time) },
             service = settings.service?.let { ServiceAdapter(it, time) },
             metrics = metrics,
             time = time,
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapter.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapter.kt
@@ -13,13 +13,14 @@
 /** An engine over HTTP that streams one JSON object a line. */
 internal class HttpEngineAdapter(
     private val settings: EngineSettings,
+    private val silence: SilenceWatch,
     private val time: TimeSource,
 ) : EngineAdapter {
     private val client =
         SingleSendClient
             .create(settings.connectTimeoutMs)
             .newBuilder()
-            .readTimeout(Duration.ofMillis(settings.firstByteTimeoutMs))
+            .readTimeout(Duration.ZERO)
             .build()
 
     override fun prepare(request: EngineRequest, deadlineMs: Long): EngineCall {
@@ -32,10 +33,7 @@
                 .callTimeout(Duration.ofMillis(maxOf(1, deadlineMs - time.monotonicMs())))
                 .build()
                 .newCall(Request.Builder().url("${settings.url}/generate").post(body).build())
-        return HttpEngineCall(call, request, progress, settings.betweenTokenTimeoutMs) {
-            time.monotonicMs() >=
-                deadlineMs
-        }
+        return HttpEngineCall(call, request, progress, silence, settings) { time.monotonicMs() >= deadlineMs }
     }
 
     private companion object {
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineCall.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineCall.kt
@@ -10,16 +10,17 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
+import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.sidecar.http.SendProgress
 import java.io.IOException
-import java.util.concurrent.TimeUnit
 
 /** One generation over HTTP. Lines of other attempts are skipped; a missing token is a failure. */
 internal class HttpEngineCall(
     private val call: Call,
     private val request: EngineRequest,
     private val progress: SendProgress,
-    private val betweenTokenTimeoutMs: Long,
+    private val silence: SilenceWatch,
+    private val settings: EngineSettings,
     private val isDeadlinePassed: () -> Boolean,
 ) : EngineCall {
     private var nextIndex = request.resumeFromToken
@@ -30,9 +31,7 @@
 
     override fun run(sink: TokenSink): Either<Failure, EngineEnd> =
         try {
-            call.execute().use { response ->
-                if (response.isSuccessful) readLines(response.body.source(), sink) else refused(response.code).left()
-            }
+            silence.during(settings.firstByteTimeoutMs, onSilence = call::cancel) { execute(sink, it) }
         } catch (e: IOException) {
             lost(e.message ?: "connection lost").left()
         } catch (e: SerializationException) {
@@ -45,7 +44,20 @@
         call.cancel()
     }
 
-    private fun readLines(source: BufferedSource, sink: TokenSink): Either<Failure, EngineEnd> {
+    private fun execute(sink: TokenSink, counter: SilenceCounter): Either<Failure, EngineEnd> =
+        call.execute().use { response ->
+            if (response.isSuccessful) {
+                readLines(response.body.source(), sink, counter)
+            } else {
+                refused(response.code).left()
+            }
+        }
+
+    private fun readLines(
+        source: BufferedSource,
+        sink: TokenSink,
+        counter: SilenceCounter,
+    ): Either<Failure, EngineEnd> {
         while (true) {
             if (source.buffer.indexOf(LINE_END) < 0) sink.onPause()
             val text = source.readUtf8Line() ?: return lost("the engine's stream ended early").left()
@@ -54,12 +66,12 @@
             if (line.end != null) return EngineEnd(line.end, line.kvHandle).right()
             if (line.index < nextIndex) continue
             if (line.index > nextIndex) return abort("the engine left out token $nextIndex")
-            if (!take(line, source, sink)) return abort("the caller left")
+            counter.heard(settings.betweenTokenTimeoutMs)
+            if (!take(line, sink)) return abort("the caller left")
         }
     }
 
-    private fun take(line: EngineLine, source: BufferedSource, sink: TokenSink): Boolean {
-        if (!hasToken) source.timeout().timeout(betweenTokenTimeoutMs, TimeUnit.MILLISECONDS)
+    private fun take(line: EngineLine, sink: TokenSink): Boolean {
         hasToken = true
         nextIndex++
         val isWanted = sink.onToken(EngineToken(line.index, line.text))
