Take a new incarnation before the memory for attempts is used up

Cause: the attempt table never drops an attempt, so that it filled after 504,096 attempts, and the sidecar would then have refused everything.

Ruled out: dropping old ids after a time (a late message would run again); a larger filter (moves the bound only); a restart (cuts streams).

Change: the table keeps two generations; the sidecar registers again at 80% of the memory and renews the table while attempts go on.

Conclusion: memory is bounded for any run time.

--- a/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptDispatcher.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptDispatcher.kt
@@ -26,6 +26,9 @@
     /** The share of the attempt memory in use. */
     public val usedShare: Double get() = registry.usedShare
 
+    /** See [AttemptRegistry.renew]. */
+    public fun renew(incarnation: Long): Unit = registry.renew(incarnation)
+
     /** Takes an attempt that arrived. */
     public fun submit(work: AttemptWork, incarnation: Long, nowMs: Long): List<AttemptEffect> {
         val acceptance = registry.accept(work.attemptId, incarnation)
--- a/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptRegistry.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptRegistry.kt
@@ -1,10 +1,13 @@
 package org.medlarhook.core.attempt
 
-/** Decides for each attempt of one incarnation whether it may start. Implementations need not be thread-safe. */
+/** Decides for each attempt whether it may start. Implementations need not be thread-safe. */
 public interface AttemptRegistry<A> {
     /** The share of the memory for attempts that is in use, from 0 to 1. At 1 nothing more is accepted or sealed. */
     public val usedShare: Double
 
+    /** Starts the memory of a higher incarnation; attempts for earlier ones are no longer accepted. */
+    public fun renew(incarnation: Long)
+
     /** Takes note of an attempt that arrived. */
     public fun accept(attemptId: String, incarnation: Long): Acceptance
 
--- a/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptTable.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/attempt/AttemptTable.kt
@@ -1,103 +1,94 @@
 package org.medlarhook.core.attempt
 
-import com.google.common.hash.BloomFilter
-import com.google.common.hash.Funnels
-
 /**
- * The bounded memory of the attempts of one incarnation.
+ * The bounded memory of the attempts of one sidecar.
  *
  * Recent attempts are held with their state. Older ones move to a Bloom filter, which errs only towards "seen
  * before": such an attempt neither starts nor is sealed. Once the filter is full, unknown attempts are neither accepted
- * nor sealed; nothing is ever dropped, as that would allow a second start.
+ * nor sealed, as dropping any would allow a second start. Before that the owner takes a new incarnation and renews the
+ * table, which refuses all attempts of earlier ones.
  */
 public class AttemptTable<A>(
-    private val incarnation: Long,
+    private val firstIncarnation: Long,
     private val limits: AttemptLimits,
 ) : AttemptRegistry<A> {
-    private enum class LiveState { ACCEPTED, RUNNING }
-
-    private sealed interface Settled {
-        data object Refused : Settled
+    private class Live<A>(
+        val generation: AttemptGeneration<A>,
+        var isRunning: Boolean = false,
+    )
 
-        data object Done : Settled
-    }
+    private val live = HashMap<String, Live<A>>()
+    private var current = AttemptGeneration<A>(firstIncarnation, limits)
+    private var previous: AttemptGeneration<A>? = null
 
-    private val liveStates = HashMap<String, LiveState>()
-    private val settledStates = LinkedHashMap<String, Settled>()
-    private val answers = RetainedAnswers<A>(limits.maxAnswers, limits.maxAnswerBytes)
-    private val forgotten = BloomFilter.create(Funnels.unencodedCharsFunnel(), limits.maxForgotten, FALSE_POSITIVES)
-    private var forgottenCount = 0
+    override val usedShare: Double get() = current.usedShare
 
-    override val usedShare: Double get() = used.toDouble() / capacity
-
-    private val used get() = liveStates.size + settledStates.size + forgottenCount
-    private val capacity = limits.maxSettled + limits.maxForgotten
+    override fun renew(incarnation: Long) {
+        require(incarnation > current.incarnation) { "incarnations only grow" }
+        previous = current
+        current = AttemptGeneration(incarnation, limits)
+    }
 
     override fun accept(attemptId: String, incarnation: Long): Acceptance =
         when {
-            incarnation != this.incarnation -> Acceptance.WRONG_INCARNATION
-            attemptId in liveStates -> Acceptance.DUPLICATE
-            settledStates[attemptId] == Settled.Refused -> Acceptance.SEALED
-            attemptId in settledStates || forgotten.mightContain(attemptId) -> Acceptance.DUPLICATE
-            used >= capacity -> Acceptance.EXHAUSTED
-            else -> Acceptance.ACCEPTED.also { liveStates[attemptId] = LiveState.ACCEPTED }
+            attemptId in live -> Acceptance.DUPLICATE
+            incarnation != current.incarnation -> acceptEarlier(attemptId, incarnation)
+            current.isSealed(attemptId) -> Acceptance.SEALED
+            current.mayHaveSeen(attemptId) -> Acceptance.DUPLICATE
+            current.isFull -> Acceptance.EXHAUSTED
+            else -> Acceptance.ACCEPTED.also { addLive(attemptId) }
         }
 
     override fun start(attemptId: String): Boolean {
-        if (liveStates[attemptId] != LiveState.ACCEPTED) return false
-        liveStates[attemptId] = LiveState.RUNNING
+        val attempt = live[attemptId] ?: return false
+        if (attempt.isRunning) return false
+        attempt.isRunning = true
         return true
     }
 
     override fun abandon(attemptId: String): Boolean {
-        if (liveStates[attemptId] != LiveState.ACCEPTED) return false
-        liveStates.remove(attemptId)
-        settle(attemptId, Settled.Refused)
+        if (live[attemptId]?.isRunning != false) return false
+        removeLive(attemptId).refuse(attemptId)
         return true
     }
 
     override fun finish(attemptId: String, answer: A?, answerBytes: Long) {
-        check(liveStates.remove(attemptId) == LiveState.RUNNING) { "attempt $attemptId does not run" }
-        settle(attemptId, Settled.Done)
-        if (answer != null) answers.retain(attemptId, answer, answerBytes)
+        check(live[attemptId]?.isRunning == true) { "attempt $attemptId does not run" }
+        removeLive(attemptId).finish(attemptId, answer, answerBytes)
     }
 
     override fun seal(attemptId: String, incarnation: Long): AttemptFate<A> {
-        if (incarnation != this.incarnation) return AttemptFate.Undetermined
-        return when (liveStates[attemptId]) {
-            LiveState.RUNNING -> AttemptFate.Running
-            LiveState.ACCEPTED -> AttemptFate.Sealed.also { abandon(attemptId) }
-            null -> sealSettled(attemptId)
+        val generation = generation(incarnation) ?: return AttemptFate.Undetermined
+        val attempt = live[attemptId]
+        return when {
+            attempt == null -> generation.seal(attemptId)
+            attempt.isRunning -> AttemptFate.Running
+            else -> AttemptFate.Sealed.also { abandon(attemptId) }
         }
     }
 
-    private fun sealSettled(attemptId: String): AttemptFate<A> =
-        when (settledStates[attemptId]) {
-            Settled.Done -> AttemptFate.Finished(answers[attemptId])
-            Settled.Refused -> AttemptFate.Sealed
-            null -> sealUnknown(attemptId)
-        }
-
-    private fun sealUnknown(attemptId: String): AttemptFate<A> {
-        if (forgotten.mightContain(attemptId) || used >= capacity) return AttemptFate.Undetermined
-        settle(attemptId, Settled.Refused)
-        return AttemptFate.Sealed
+    /** An attempt of a generation that this table has dropped may have run here. */
+    private fun acceptEarlier(attemptId: String, incarnation: Long): Acceptance {
+        val isDropped = incarnation in firstIncarnation..<current.incarnation
+        val mayHaveRun = generation(incarnation)?.mayHaveSeen(attemptId) ?: isDropped
+        return if (mayHaveRun) Acceptance.DUPLICATE else Acceptance.WRONG_INCARNATION
     }
 
-    private fun settle(attemptId: String, state: Settled) {
-        settledStates[attemptId] = state
-        if (settledStates.size > limits.maxSettled) forgetOldest()
-    }
+    private fun generation(incarnation: Long): AttemptGeneration<A>? =
+        when (incarnation) {
+            current.incarnation -> current
+            previous?.incarnation -> previous
+            else -> null
+        }
 
-    private fun forgetOldest() {
-        val oldestId = settledStates.keys.first()
-        settledStates.remove(oldestId)
-        answers.drop(oldestId)
-        forgotten.put(oldestId)
-        forgottenCount++
+    private fun addLive(attemptId: String) {
+        live[attemptId] = Live(current)
+        current.liveCount++
     }
 
-    private companion object {
-        const val FALSE_POSITIVES = 1e-6
+    private fun removeLive(attemptId: String): AttemptGeneration<A> {
+        val generation = live.remove(attemptId)?.generation ?: error("attempt $attemptId is not live")
+        generation.liveCount--
+        return generation
     }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/attempt/SharedDispatcher.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/attempt/SharedDispatcher.kt
@@ -20,6 +20,9 @@
     /** See [AttemptDispatcher.usedShare]. */
     public val usedShare: Double get() = synchronized(lock) { dispatcher.usedShare }
 
+    /** See [AttemptDispatcher.renew]. */
+    public fun renew(incarnation: Long): Unit = synchronized(lock) { dispatcher.renew(incarnation) }
+
     /** See [AttemptDispatcher.submit]. */
     public fun submit(work: AttemptWork, incarnation: Long, nowMs: Long): List<AttemptEffect> =
         synchronized(lock) { dispatcher.submit(work, incarnation, nowMs) }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/SidecarSettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/SidecarSettings.kt
@@ -59,6 +59,7 @@
  * @property drainLimitMs how long a graceful stop waits for running attempts.
  * @property receiptLimitMs how long a graceful stop waits for a collector to take the last receipts.
  * @property maxReceipts receipts kept for collectors.
+ * @property maxForgottenAttempts ended attempts remembered by their id alone, until a new incarnation is taken.
  */
 @Serializable
 public data class SidecarLimits(
@@ -69,4 +70,5 @@
     val drainLimitMs: Long = 600_000,
     val receiptLimitMs: Long = 5_000,
     val maxReceipts: Int = 4_096,
+    val maxForgottenAttempts: Int = 500_000,
 )
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -26,6 +26,8 @@
 import org.medlarhook.sidecar.operators.SidecarDump
 import org.medlarhook.sidecar.operators.SidecarMetrics
 import org.medlarhook.sidecar.receipt.BoundedReceiptLog
+import org.medlarhook.sidecar.registration.IncarnationListener
+import org.medlarhook.sidecar.registration.IncarnationRenewal
 import org.medlarhook.sidecar.registration.RegistrationLoop
 import org.medlarhook.sidecar.registration.SidecarRegistrar
 import org.medlarhook.sidecar.rpc.RpcServer
@@ -46,6 +48,8 @@
     private val limits = settings.limits
     private val slots = settings.engine?.slots ?: settings.service?.concurrentCalls ?: 1
     private val timer = Workers.timer()
+    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
+    private val incarnationListeners: List<IncarnationListener> = emptyList()
     private val workers = Workers.pool(slots)
 
     @Volatile
@@ -77,9 +81,7 @@
         operators.start()
         Runtime.getRuntime().addShutdownHook(Thread(::stop, "shutdown"))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "sidecar", "upstream" to settings.upstreamId)
-        val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
-        val registration = RegistrationLoop(SidecarRegistrar(settings, tables), { state.isDraining }).run()
-        if (registration != null) serve(registration.incarnation)
+        register()?.let { serve(it) }
         server.awaitTermination()
     }
 
@@ -93,6 +95,14 @@
             false
         }
 
+    /** Registers under the next incarnation and lets the listeners prepare; null if the process stops before. */
+    private fun register(): Long? {
+        val loop = RegistrationLoop(SidecarRegistrar(settings, tables), { state.isDraining })
+        val incarnation = loop.run()?.incarnation ?: return null
+        incarnationListeners.forEach { it.onIncarnation(incarnation) }
+        return incarnation
+    }
+
     private fun serve(incarnation: Long) {
         val present = newServing(incarnation)
         present.runner.setAvailable(false)
@@ -102,15 +112,28 @@
         logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
         HealthMonitor(backendUrl(), limits, timer, ::onHealthChange).start()
         timer.scheduleWithFixedDelay(hub::publish, 0, limits.heartbeatMs, TimeUnit.MILLISECONDS)
+        IncarnationRenewal({ present.dispatcher.usedShare }, ::register, ::renew).start(timer)
+    }
+
+    /** Attempts that run under the last incarnation go on; new ones need the new incarnation. */
+    private fun renew(incarnation: Long) {
+        val present = serving ?: return
+        present.dispatcher.renew(incarnation)
+        serving = present.renewed(incarnation, newReceiptLog(incarnation))
+        state.incarnation = incarnation
+        logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
+        hub.publish()
     }
 
+    private fun newReceiptLog(incarnation: Long) =
+        BoundedReceiptLog(settings.upstreamId, incarnation, limits.maxReceipts)
+
     private fun newServing(incarnation: Long): Serving {
         val scheduler = AttemptScheduler(slots, FairQueue(limits.maxQueued), initialSpeeds())
-        val table = AttemptTable<ServiceAnswer>(incarnation, AttemptLimits())
+        val table = AttemptTable<ServiceAnswer>(incarnation, AttemptLimits(maxForgotten = limits.maxForgottenAttempts))
         val dispatcher = SharedDispatcher(AttemptDispatcher(table, scheduler))
-        val receipts = BoundedReceiptLog(settings.upstreamId, incarnation, limits.maxReceipts)
         val runner = AttemptRunner(dispatcher, workers, timer, time, metrics)
-        return Serving(incarnation, dispatcher, runner, receipts)
+        return Serving(incarnation, dispatcher, runner, newReceiptLog(incarnation))
     }
 
     private fun initialSpeeds(): SpeedEstimate {
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/AttemptRunner.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/AttemptRunner.kt
@@ -93,7 +93,6 @@
         metrics.ended(end.code)
         end.deliver(dispatcher.load.toMessage())
         tasks.remove(task.work.attemptId)
-        warnIfMemoryLow()
     }
 
     /** A fault of this program must not keep the slot. */
@@ -114,13 +113,4 @@
     private fun expireAt(deadlineMs: Long, nowMs: Long) {
         timer.schedule({ perform(dispatcher.expire(time.monotonicMs())) }, deadlineMs - nowMs, TimeUnit.MILLISECONDS)
     }
-
-    private fun warnIfMemoryLow() {
-        val usedShare = dispatcher.usedShare
-        if (usedShare > LOW_MEMORY_SHARE) logger.warnEvent(LogEvent.ATTEMPT_MEMORY_LOW, "usedShare" to usedShare)
-    }
-
-    private companion object {
-        const val LOW_MEMORY_SHARE = 0.95
-    }
 }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/lifecycle/GracefulStop.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/lifecycle/GracefulStop.kt
@@ -37,7 +37,7 @@
             logger.warnEvent(LogEvent.DRAIN_LIMIT_PASSED, "running" to serving.dispatcher.load.running)
             serving.runner.stopAll()
         }
-        waitFor(limits.receiptLimitMs) { serving.receipts.isFlushed() }
+        waitFor(limits.receiptLimitMs) { serving.receiptLogs.all { it.isFlushed() } }
     }
 
     private fun waitFor(limitMs: Long, condition: () -> Boolean): Boolean {
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/operators/SidecarDump.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/operators/SidecarDump.kt
@@ -37,7 +37,7 @@
             put("prefillTokensPerS", load.prefillTokensPerS)
             put("decodeTokensPerS", load.decodeTokensPerS)
             put("attemptMemoryUsed", serving.dispatcher.usedShare)
-            put("openReceipts", serving.receipts.openCount())
+            put("openReceipts", serving.receiptLogs.sumOf { it.openCount() })
             val open = serving.runner.openAttempts().map { it.work }
             putJsonObject("attemptsByWorkspace") {
                 open.groupingBy { it.workspace }.eachCount().forEach { (workspace, count) -> put(workspace, count) }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/receipt/BoundedReceiptLog.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/receipt/BoundedReceiptLog.kt
@@ -12,7 +12,7 @@
  */
 internal class BoundedReceiptLog(
     private val upstreamId: String,
-    private val incarnation: Long,
+    override val incarnation: Long,
     private val maxReceipts: Int,
 ) : ReceiptLog {
     private val logger = KotlinLogging.logger {}
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/receipt/ReceiptLog.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/receipt/ReceiptLog.kt
@@ -5,6 +5,9 @@
 
 /** The numbered receipts of one incarnation. May be called from any thread. */
 internal interface ReceiptLog {
+    /** The incarnation that the receipts are numbered under. */
+    val incarnation: Long
+
     /** Numbers [draft], keeps it and returns it. */
     fun record(draft: Receipt.Builder): Receipt
 
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/registration/IncarnationRenewal.kt
@@ -0,0 +1,39 @@
+package org.medlarhook.sidecar.registration
+
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
+import kotlin.concurrent.thread
+
+/**
+ * Takes a new incarnation before the memory for attempts is used up, so that a sidecar can run for any length of time.
+ *
+ * @param usedShare of the memory for attempts.
+ * @param register blocks until a new incarnation is registered; null if the process stops.
+ */
+internal class IncarnationRenewal(
+    private val usedShare: () -> Double,
+    private val register: () -> Long?,
+    private val onRenewed: (incarnation: Long) -> Unit,
+) {
+    private val isRenewing = AtomicBoolean()
+
+    /** Checks the memory at intervals on [timer]. */
+    fun start(timer: ScheduledExecutorService) {
+        timer.scheduleWithFixedDelay(::check, CHECK_INTERVAL_MS, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Renews in the background if the memory is low. */
+    fun check() {
+        if (usedShare() < RENEWAL_SHARE || !isRenewing.compareAndSet(false, true)) return
+        thread(name = "renewal", isDaemon = true) {
+            register()?.let(onRenewed)
+            isRenewing.set(false)
+        }
+    }
+
+    private companion object {
+        const val CHECK_INTERVAL_MS = 5_000L
+        const val RENEWAL_SHARE = 0.8
+    }
+}
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
@@ -71,9 +71,9 @@
     }
 
     override fun pullReceipts(request: ReceiptsRequest, responses: StreamObserver<ReceiptsPage>) {
-        val present = serving()?.takeIf { it.incarnation == request.incarnation }
+        val receipts = serving()?.receiptLogs?.firstOrNull { it.incarnation == request.incarnation }
         val limit = request.limit.coerceIn(1, MAX_RECEIPTS)
-        responses.onNext(present?.receipts?.page(request.afterSequence, limit) ?: ReceiptsPage.getDefaultInstance())
+        responses.onNext(receipts?.page(request.afterSequence, limit) ?: ReceiptsPage.getDefaultInstance())
         responses.onCompleted()
     }
 
