--- a/core/src/main/kotlin/org/medlarhook/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/result/ResultCode.kt
@@ -22,6 +22,7 @@
     UNKNOWN_SERVICE(1005, 404, "No such service"),
     BAD_DEADLINE(1006, 400, "The deadline header is not a positive whole number of milliseconds"),
     BAD_PARAMETER(1007, 400, "A parameter is out of its range"),
+    BODY_TIMEOUT(1008, 408, "The body did not arrive in time"),
     KEY_MISSING(1010, 401, "No key was presented"),
     KEY_INVALID(1011, 401, "The key is unknown or withdrawn"),
     KEY_WITHDRAWN_DURING_REQUEST(1012, 401, "The key was withdrawn while the request ran"),
--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -6,15 +6,10 @@
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
 import org.medlarhook.entry.directory.PolledDirectory
-import org.medlarhook.entry.http.CallersListener
-import org.medlarhook.entry.http.ChatHandler
-import org.medlarhook.entry.http.ServiceHandler
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
 import org.medlarhook.entry.operators.InForceView
 import org.medlarhook.entry.operators.OperatorsRoutes
-import org.medlarhook.entry.routing.LeastOutstandingChooser
-import org.medlarhook.entry.upstream.UpstreamPool
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
@@ -34,43 +29,77 @@
 public class Entry(
     private val settings: EntrySettings,
 ) {
+    private val time = SystemTimeSource
     private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
     private val tables = HttpTableService(platform)
-    private val reader = DirectoryReader(tables, HttpPlatform(platform))
+    private val objects = HttpPlatform(platform)
+    private val reader = DirectoryReader(tables, objects)
     private val directory = PolledDirectory(reader)
-    private val pool = UpstreamPool(tables)
-    private val scheduler = Executors.newScheduledThreadPool(2)
+    private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
+    private val requests: RequestPath =
+        RequestPath(
+            settings = settings,
+            tables = tables,
+            objects = objects,
+            directory = directory,
+            time = time,
+            scheduler = scheduler,
+            registry = { operators.registry },
+        )
+    private val operators: OperatorsListener =
+        OperatorsListener(
+            address = settings.operators,
+            time = time,
+            isReady = { requests.gate.isReady },
+            dumps = dumps(),
+            routes = operatorsRoutes()::register,
+        )
 
     /** Opens the listeners and follows the tables until the process is stopped. */
     public fun run() {
-        scheduler.scheduleWithFixedDelay({ directory.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
-        scheduler.scheduleWithFixedDelay({ pool.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
-        val chat = ChatHandler(directory, pool, LeastOutstandingChooser)
-        val services = ServiceHandler(pool, LeastOutstandingChooser)
-        val callers = CallersListener(settings, SystemTimeSource, directory, chat, services)
-        val operators =
-            OperatorsListener(
-                address = settings.operators,
-                time = SystemTimeSource,
-                isReady = { directory.version > 0 },
-                dumps = dumps(),
-                routes = operatorsRoutes()::register,
-            )
+        every(POLL_MS) { directory.poll() }
         operators.start()
-        callers.start()
+        requests.start(::every)
+        Runtime.getRuntime().addShutdownHook(Thread(::stop))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
 
+    private fun stop() {
+        logger.event(LogEvent.DRAIN_STARTED, "open" to requests.open.count)
+        val isFinished = requests.stop()
+        scheduler.shutdownNow()
+        operators.stop()
+        logger.event(LogEvent.PROCESS_STOPPED, "finished" to isFinished, "open" to requests.open.count)
+        Runtime.getRuntime().halt(if (isFinished) 0 else EXIT_UNFINISHED)
+    }
+
+    private fun every(intervalMs: Long, task: () -> Unit) {
+        scheduler.scheduleWithFixedDelay(guarded(task), 0, intervalMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** A task that fails must not stop those that follow. */
+    private fun guarded(task: () -> Unit) =
+        Runnable {
+            try {
+                task()
+            } catch (e: RuntimeException) {
+                logger.error(e) { "a periodic task failed" }
+            }
+        }
+
     private fun operatorsRoutes(): OperatorsRoutes {
         val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader))
         val inForce = InForceView { version, _ -> InForceAnswer(version, directory.version >= version, emptyList()) }
-        return OperatorsRoutes(config, inForce, SystemTimeSource)
+        return OperatorsRoutes(config, inForce, time)
     }
 
     private fun dumps(): Map<String, StateDump> =
-        mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) })
+        mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) }) +
+            requests.dumps()
 
     private companion object {
         const val POLL_MS = 1_000L
+        const val SCHEDULER_THREADS = 4
+        const val EXIT_UNFINISHED = 1
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -0,0 +1,145 @@
+package org.medlarhook.entry
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.medlarhook.core.call.CallRetryBudget
+import org.medlarhook.entry.call.CallMetrics
+import org.medlarhook.entry.call.CallServices
+import org.medlarhook.entry.call.OpenRequests
+import org.medlarhook.entry.claim.ClaimCleaner
+import org.medlarhook.entry.claim.ClaimCodec
+import org.medlarhook.entry.claim.GroupedClaimStore
+import org.medlarhook.entry.directory.DirectoryView
+import org.medlarhook.entry.http.Callers
+import org.medlarhook.entry.http.CallersListener
+import org.medlarhook.entry.http.ChatHandler
+import org.medlarhook.entry.http.Gate
+import org.medlarhook.entry.http.ModelsHandler
+import org.medlarhook.entry.http.Outcomes
+import org.medlarhook.entry.http.ServiceHandler
+import org.medlarhook.entry.routing.LeastOutstandingChooser
+import org.medlarhook.entry.routing.UpstreamChooser
+import org.medlarhook.entry.upstream.GrpcSidecarClient
+import org.medlarhook.entry.upstream.PlainChannelFactory
+import org.medlarhook.entry.upstream.UpstreamLink
+import org.medlarhook.entry.upstream.UpstreamPool
+import org.medlarhook.platform.ObjectStore
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.runtime.operators.StateDump
+import org.medlarhook.runtime.settings.EntrySettings
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
+
+/** The parts that take a request from a caller to an upstream and back. */
+internal class RequestPath(
+    private val settings: EntrySettings,
+    private val tables: TableService,
+    objects: ObjectStore,
+    private val directory: DirectoryView,
+    private val time: TimeSource,
+    private val scheduler: ScheduledExecutorService,
+    private val registry: () -> MeterRegistry,
+    private val chooser: UpstreamChooser = LeastOutstandingChooser,
+    private val retryBudget: CallRetryBudget = CallRetryBudget { true },
+) {
+    private val workers = Executors.newFixedThreadPool(settings.calls.workers)
+    private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
+    private val claims = GroupedClaimStore(tables, codec, time, settings.claims)
+    private val cleaner = ClaimCleaner(tables, codec, settings.claims.retentionMs)
+
+    /** The requests in flight. */
+    val open = OpenRequests()
+
+    /** Whether requests are taken. */
+    val gate = Gate { directory.version > 0 }
+
+    /** The upstreams. */
+    val pool =
+        UpstreamPool(
+            entryId = settings.entryId,
+            tables = tables,
+            channels = PlainChannelFactory(workers),
+            time = time,
+            heartbeatTimeoutMs = settings.calls.heartbeatTimeoutMs,
+        )
+
+    private val listener: CallersListener by lazy { callersListener() }
+
+    /** The port towards callers. */
+    val port: Int
+        get() = listener.port
+
+    /** Starts the periodic tasks through [every] and opens the listener. */
+    fun start(every: (intervalMs: Long, task: () -> Unit) -> Unit) {
+        claims.start()
+        every(POLL_MS) { pool.poll() }
+        every(CHECK_MS) { pool.check(time.monotonicMs()) }
+        every(settings.calls.tickMs) { open.tick(time.monotonicMs()) }
+        every(settings.claims.sweepIntervalMs) { cleaner.sweep(time.wallMs()) }
+        listener.start()
+    }
+
+    /** Finishes open requests and closes all; true if none was left open. */
+    fun stop(): Boolean {
+        val isFinished = Shutdown(settings.shutdown, gate, open).drain()
+        listener.stop()
+        claims.close()
+        pool.close()
+        workers.shutdown()
+        return isFinished
+    }
+
+    /** The parts of the state dump. */
+    fun dumps(): Map<String, StateDump> =
+        mapOf(
+            "requests" to open,
+            "upstreams" to StateDump { JsonObject(mapOf("links" to JsonArray(pool.links().map(::dump)))) },
+        )
+
+    private fun callersListener(): CallersListener {
+        val metrics = CallMetrics(registry())
+        val services =
+            CallServices(
+                directory = directory,
+                pool = pool,
+                chooser = chooser,
+                client = GrpcSidecarClient(),
+                claims = claims,
+                retryBudget = retryBudget,
+                time = time,
+                settings = settings.calls,
+                open = open,
+                metrics = metrics,
+            )
+        val callers = Callers(directory)
+        val outcomes = Outcomes(metrics, time)
+        val handlers =
+            CallersListener.Handlers(
+                callers = callers,
+                chat = ChatHandler(services, callers, outcomes, settings.limits.maxDeadlineMs),
+                services = ServiceHandler(services, callers, outcomes, settings.limits.maxDeadlineMs),
+                models = ModelsHandler(directory, callers),
+            )
+        return CallersListener(settings, time, scheduler, gate, handlers)
+    }
+
+    private fun dump(link: UpstreamLink): JsonObject =
+        JsonObject(
+            mapOf(
+                "upstreamId" to JsonPrimitive(link.registration.upstreamId),
+                "incarnation" to JsonPrimitive(link.registration.incarnation),
+                "address" to JsonPrimitive(link.registration.address),
+                "accepting" to JsonPrimitive(link.isAccepting),
+                "connected" to JsonPrimitive(link.isReady),
+                "outstanding" to JsonPrimitive(link.outstanding.get()),
+            ),
+        )
+
+    private companion object {
+        const val POLL_MS = 1_000L
+        const val CHECK_MS = 100L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/CallServices.kt
@@ -0,0 +1,40 @@
+package org.medlarhook.entry.call
+
+import org.medlarhook.core.call.AttemptLimits
+import org.medlarhook.core.call.CallRetryBudget
+import org.medlarhook.core.call.GenerationMachine
+import org.medlarhook.core.claim.OnceMachine
+import org.medlarhook.entry.claim.ClaimStore
+import org.medlarhook.entry.directory.DirectoryView
+import org.medlarhook.entry.routing.UpstreamChooser
+import org.medlarhook.entry.upstream.SidecarClient
+import org.medlarhook.entry.upstream.UpstreamPool
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.runtime.settings.CallSettings
+
+/** What the requests of an entry share. */
+internal class CallServices(
+    val directory: DirectoryView,
+    val pool: UpstreamPool,
+    val chooser: UpstreamChooser,
+    val client: SidecarClient,
+    val claims: ClaimStore,
+    val retryBudget: CallRetryBudget,
+    val time: TimeSource,
+    val settings: CallSettings,
+    val open: OpenRequests,
+    val metrics: CallMetrics,
+) {
+    private val limits =
+        AttemptLimits(
+            maxAttempts = settings.maxAttempts,
+            firstEventTimeoutMs = settings.firstEventTimeoutMs,
+            silenceTimeoutMs = settings.silenceTimeoutMs,
+        )
+
+    /** Decides on generations. */
+    val generationMachine = GenerationMachine(limits)
+
+    /** Decides on calls of plain services. */
+    val onceMachine = OnceMachine(limits)
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationCall.kt
@@ -0,0 +1,183 @@
+package org.medlarhook.entry.call
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.medlarhook.core.call.GenerationAction
+import org.medlarhook.core.call.GenerationEvent
+import org.medlarhook.core.call.GenerationPhase
+import org.medlarhook.core.call.GenerationStep
+import org.medlarhook.core.result.Failure
+import org.medlarhook.core.result.ResultCode
+import org.medlarhook.core.result.RunState
+import org.medlarhook.entry.upstream.UpstreamLink
+
+/** Carries out what the machine decides for one generation. Events are handled one at a time and never block. */
+internal class GenerationCall(
+    private val services: CallServices,
+    private val info: RequestInfo,
+    private val job: GenerationJob,
+    private val sink: GenerationSink,
+    private val ended: (Failure?) -> Unit,
+) : OpenRequest {
+    private val mailbox = Mailbox(::handle)
+    private val candidates = AttemptChooser(services) { services.pool.forModel(job.model) }
+    private val keyCheck = KeyCheck(services.directory, info, services.settings.keyCheckMs)
+    private var step: GenerationStep = services.generationMachine.start(info.deadlineAtMs)
+
+    @Volatile
+    private var running: GenerationAttempt? = null
+    private var link: UpstreamLink? = null
+    private var promptTokens = job.promptTokens.toLong()
+    private var heartbeatAtMs = info.startedAtMs
+
+    /** Sends the first attempt. */
+    fun start() {
+        services.open.add(this)
+        mailbox.post(Signal.Begin)
+    }
+
+    /** The caller has gone. */
+    fun callerLeft(): Unit = post(GenerationEvent.CallerLeft)
+
+    /** The caller has caught up: the upstream may go on. */
+    fun drained() {
+        running?.resume()
+    }
+
+    override fun tick(nowMs: Long) {
+        if (!keyCheck.stillAllowed(nowMs)) post(GenerationEvent.AccessWithdrawn)
+        mailbox.post(Signal.Tick(nowMs))
+    }
+
+    override fun dump(nowMs: Long): JsonObject {
+        val state = step.state
+        val fields =
+            mapOf(
+                "requestId" to JsonPrimitive(info.requestId),
+                "kind" to JsonPrimitive(KIND),
+                "workspace" to JsonPrimitive(job.workspace.name),
+                "ageMs" to JsonPrimitive(nowMs - info.startedAtMs),
+                "remainingMs" to JsonPrimitive(info.deadlineAtMs - nowMs),
+                "attempts" to JsonPrimitive(state.attempts),
+                "tokens" to JsonPrimitive(state.nextToken),
+                "phase" to JsonPrimitive(state.phase::class.simpleName),
+            )
+        return JsonObject(fields)
+    }
+
+    private fun post(event: GenerationEvent): Unit = mailbox.post(Signal.Event(event))
+
+    private sealed interface Signal {
+        data object Begin : Signal
+
+        data class Event(
+            val event: GenerationEvent,
+        ) : Signal
+
+        data class Tick(
+            val nowMs: Long,
+        ) : Signal
+    }
+
+    private fun handle(signal: Signal) {
+        when (signal) {
+            is Signal.Begin -> carryOut(step.actions)
+            is Signal.Event -> advance(signal.event, services.time.monotonicMs())
+            is Signal.Tick -> checkTime(signal.nowMs)
+        }
+    }
+
+    private fun advance(event: GenerationEvent, nowMs: Long) {
+        if (step.state.phase == GenerationPhase.Ended) return
+        step = services.generationMachine.step(step.state, event, nowMs)
+        carryOut(step.actions)
+    }
+
+    /** A sidecar that answers on the same connection, or a caller that is slow, is no silent connection. */
+    private fun checkTime(nowMs: Long) {
+        val attempt = running
+        val isAlive = link?.isAlive(nowMs, services.settings.heartbeatTimeoutMs) ?: false
+        if (attempt != null && (attempt.isHeldBack || isAlive)) {
+            advance(GenerationEvent.Heard(attempt.id, started = false), nowMs)
+        }
+        advance(GenerationEvent.Tick, nowMs)
+        if (nowMs - heartbeatAtMs >= services.settings.callerHeartbeatMs) {
+            heartbeatAtMs = nowMs
+            if (step.state.phase != GenerationPhase.Ended) sink.heartbeat()
+        }
+    }
+
+    private fun carryOut(actions: List<GenerationAction>) {
+        actions.forEach { action ->
+            when (action) {
+                is GenerationAction.Choose -> choose(action)
+                is GenerationAction.Send -> send(action)
+                is GenerationAction.Cancel -> release()?.cancel()
+                is GenerationAction.ReplaceChannel -> link?.let { services.pool.replace(it) }
+                is GenerationAction.Deliver -> deliver(action)
+                is GenerationAction.Finish -> finish(action)
+                is GenerationAction.Fail -> fail(action.failure)
+            }
+        }
+    }
+
+    private fun choose(action: GenerationAction.Choose) {
+        release()
+        candidates.choose(action.excludedUpstreams, action.isRetry).fold(
+            ifLeft = { post(GenerationEvent.NotChosen(it)) },
+            ifRight = { chosen ->
+                link = chosen.link
+                post(GenerationEvent.Chosen(chosen.attempt))
+            },
+        )
+    }
+
+    private fun send(action: GenerationAction.Send) {
+        val target = link ?: return
+        val id = action.attempt.attemptId
+        if (!target.isReady) {
+            val failure = Failure(ResultCode.UPSTREAM_FAILED, RunState.NOT_RUN, "the upstream is not connected")
+            post(GenerationEvent.Refused(id, failure))
+            return
+        }
+        target.outstanding.incrementAndGet()
+        val attempt = GenerationAttempt(id, target, sink, ::post) { promptTokens = it }
+        running = attempt
+        attempt.start(services.client, GenerateRequests.of(info, job, action))
+    }
+
+    private fun deliver(action: GenerationAction.Deliver) {
+        services.metrics.tokens(action.texts.size)
+        heartbeatAtMs = services.time.monotonicMs()
+        sink.deliver(action.texts)
+    }
+
+    private fun finish(action: GenerationAction.Finish) {
+        release()
+        sink.finish(action.finishReason, Usage(promptTokens, action.outputTokens.toLong()))
+        close(null)
+    }
+
+    private fun fail(failure: Failure) {
+        release()
+        sink.fail(failure)
+        close(failure)
+    }
+
+    private fun close(failure: Failure?) {
+        services.open.remove(this)
+        ended(failure)
+    }
+
+    private fun release(): GenerationAttempt? {
+        val attempt = running ?: return null
+        running = null
+        attempt.link.outstanding.decrementAndGet()
+        return attempt
+    }
+
+    companion object {
+        /** The name of the kind in metrics and dumps. */
+        const val KIND = "generation"
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/PlainServiceCall.kt
@@ -0,0 +1,150 @@
+package org.medlarhook.entry.call
+
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import org.medlarhook.core.claim.OnceAction
+import org.medlarhook.core.claim.OnceEvent
+import org.medlarhook.core.claim.OncePhase
+import org.medlarhook.core.claim.OnceStep
+import org.medlarhook.core.claim.SealResult
+import org.medlarhook.entry.claim.ClaimReadResult
+import org.medlarhook.entry.upstream.UpstreamLink
+import org.medlarhook.entry.upstream.toCallAnswer
+import org.medlarhook.entry.upstream.toFailure
+import org.medlarhook.protocol.ServiceAnswer
+
+/**
+ * Carries out what the machine decides for one call of a plain service. The call goes on after its caller has left, so
+ * that its outcome is recorded.
+ */
+internal class PlainServiceCall(
+    private val services: CallServices,
+    private val info: RequestInfo,
+    private val job: ServiceJob,
+    private val listener: ServiceCallListener,
+) : OpenRequest {
+    private val mailbox = Mailbox(::handle)
+    private val candidates = AttemptChooser(services) { services.pool.forService(job.service) }
+    private var step: OnceStep = services.onceMachine.start(job.once)
+    private var link: UpstreamLink? = null
+
+    /** Takes the first step. */
+    fun start() {
+        services.open.add(this)
+        mailbox.post(Signal.Begin)
+    }
+
+    override fun tick(nowMs: Long): Unit = post(OnceEvent.Tick)
+
+    override fun dump(nowMs: Long): JsonObject {
+        val fields =
+            mapOf(
+                "requestId" to JsonPrimitive(info.requestId),
+                "kind" to JsonPrimitive(KIND),
+                "workspace" to JsonPrimitive(info.workspace?.name),
+                "ageMs" to JsonPrimitive(nowMs - info.startedAtMs),
+                "remainingMs" to JsonPrimitive(info.deadlineAtMs - nowMs),
+                "attempts" to JsonPrimitive(step.state.attempts),
+                "phase" to JsonPrimitive(step.state.phase::class.simpleName),
+            )
+        return JsonObject(fields)
+    }
+
+    private fun post(event: OnceEvent): Unit = mailbox.post(Signal.Event(event))
+
+    private sealed interface Signal {
+        data object Begin : Signal
+
+        data class Event(
+            val event: OnceEvent,
+        ) : Signal
+    }
+
+    private fun handle(signal: Signal) {
+        if (signal is Signal.Event) {
+            if (step.state.phase == OncePhase.Ended) return
+            step = services.onceMachine.step(step.state, signal.event, services.time.monotonicMs())
+        }
+        step.actions.forEach(::carryOut)
+    }
+
+    private fun carryOut(action: OnceAction) {
+        when (action) {
+            is OnceAction.Choose -> choose(action)
+            is OnceAction.WriteClaim ->
+                services.claims.write(checkNotNull(job.claimKey), action.claim, action.expectedVersion) { result ->
+                    post(OnceEvent.ClaimWritten(action.claim, result))
+                }
+            is OnceAction.ReadClaim -> readClaim()
+            is OnceAction.Send -> send(action)
+            is OnceAction.Seal -> seal(action)
+            is OnceAction.Answer -> {
+                services.open.remove(this)
+                if (action.isReplay) services.metrics.replayed()
+                listener.answered(action.answer, action.isReplay)
+            }
+            is OnceAction.Fail -> {
+                services.open.remove(this)
+                listener.failed(action.failure)
+            }
+        }
+    }
+
+    private fun choose(action: OnceAction.Choose) {
+        candidates.choose(action.excludedUpstreams, action.isRetry).fold(
+            ifLeft = { post(OnceEvent.NotChosen(it)) },
+            ifRight = { chosen ->
+                link = chosen.link
+                post(OnceEvent.Chosen(chosen.attempt))
+            },
+        )
+    }
+
+    private fun readClaim() {
+        services.claims.read(checkNotNull(job.claimKey)) { result ->
+            when (result) {
+                is ClaimReadResult.Found -> post(OnceEvent.ClaimRead(result.row))
+                is ClaimReadResult.Failed -> post(OnceEvent.ClaimReadFailed)
+            }
+        }
+    }
+
+    private fun send(action: OnceAction.Send) {
+        val id = action.attempt.attemptId
+        val target = link
+        if (target == null || !target.isReady) {
+            post(OnceEvent.NotSent(id))
+            return
+        }
+        target.outstanding.incrementAndGet()
+        services.client.callService(target, job.message(info, action.attempt, action.remainingMs)) { answer ->
+            target.outstanding.decrementAndGet()
+            post(answer.toEvent(id))
+        }
+    }
+
+    private fun ServiceAnswer?.toEvent(attemptId: String): OnceEvent =
+        when {
+            this == null -> OnceEvent.Broken(attemptId)
+            hasResponse() -> OnceEvent.Answered(attemptId, response.toCallAnswer())
+            hasRefusal() -> OnceEvent.Refused(attemptId, refusal.toFailure())
+            else -> OnceEvent.Broken(attemptId)
+        }
+
+    private fun seal(action: OnceAction.Seal) {
+        val attempt = action.attempt
+        val target = services.pool.link(attempt.upstreamId)
+        if (target == null) {
+            post(OnceEvent.SealAnswered(attempt.attemptId, SealResult.Unreachable))
+            return
+        }
+        services.client.seal(target, attempt.attemptId, attempt.incarnation) { result ->
+            post(OnceEvent.SealAnswered(attempt.attemptId, result))
+        }
+    }
+
+    companion object {
+        /** The name of the kind in metrics and dumps. */
+        const val KIND = "service"
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/ServiceJob.kt
@@ -0,0 +1,50 @@
+package org.medlarhook.entry.call
+
+import com.google.protobuf.ByteString
+import org.medlarhook.core.call.AttemptRef
+import org.medlarhook.core.call.CallHeader
+import org.medlarhook.core.claim.OnceRequest
+import org.medlarhook.entry.claim.ClaimKey
+import org.medlarhook.protocol.Header
+import org.medlarhook.protocol.ServiceCall
+
+/**
+ * A call of a plain service as it goes inward.
+ *
+ * @property headers what is left of the caller's headers.
+ * @property claimKey the idempotency key, or null.
+ */
+internal class ServiceJob(
+    val service: String,
+    val method: String,
+    val pathAndQuery: String,
+    val headers: List<CallHeader>,
+    val body: ByteString,
+    val claimKey: ClaimKey?,
+    val once: OnceRequest,
+) {
+    /** The message for [attempt]. */
+    fun message(info: RequestInfo, attempt: AttemptRef, remainingMs: Long): ServiceCall =
+        ServiceCall
+            .newBuilder()
+            .setAttemptId(attempt.attemptId)
+            .setRequestId(info.requestId)
+            .setWorkspace(info.workspace?.name.orEmpty())
+            .setWeight(info.workspace?.weight ?: 1)
+            .setIncarnation(attempt.incarnation)
+            .setService(service)
+            .setMethod(method)
+            .setPathAndQuery(pathAndQuery)
+            .addAllHeaders(headers.map { it.toMessage() })
+            .setBody(body)
+            .setRemainingMs(remainingMs)
+            .setIdempotent(once.repeatable)
+            .build()
+
+    private fun CallHeader.toMessage(): Header =
+        Header
+            .newBuilder()
+            .setName(name)
+            .setValue(value)
+            .build()
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimCleaner.kt
@@ -0,0 +1,39 @@
+package org.medlarhook.entry.claim
+
+import org.medlarhook.platform.Condition
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.TableNames
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.Write
+
+/** Deletes claims that are older than the retention, one page of the table a sweep. */
+internal class ClaimCleaner(
+    private val tables: TableService,
+    private val codec: ClaimCodec,
+    private val retentionMs: Long,
+) {
+    private var afterKey = ""
+
+    /** Looks at the next page and returns how many claims were deleted. */
+    fun sweep(nowWallMs: Long): Int =
+        tables.scan(TableNames.CLAIM, afterKey = afterKey, limit = PAGE_ROWS).fold(
+            ifLeft = { 0 },
+            ifRight = { rows ->
+                afterKey = if (rows.size < PAGE_ROWS) "" else rows.last().key.key
+                rows.filter { isExpired(it, nowWallMs) }.count(::delete)
+            },
+        )
+
+    private fun isExpired(row: Row, nowWallMs: Long): Boolean =
+        nowWallMs - codec.record(row).writtenAtMs > retentionMs
+
+    private fun delete(row: Row): Boolean {
+        val condition = Condition(row.key, row.version)
+        return tables.transact(Transaction(listOf(condition), listOf(Write(row.key, null)))).isRight()
+    }
+
+    private companion object {
+        const val PAGE_ROWS = 200
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimCodec.kt
@@ -0,0 +1,74 @@
+package org.medlarhook.entry.claim
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.json.Json
+import org.medlarhook.core.call.AttemptRef
+import org.medlarhook.core.call.CallAnswer
+import org.medlarhook.core.claim.Claim
+import org.medlarhook.core.claim.ClaimRow
+import org.medlarhook.platform.ObjectStore
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.TableFailure
+import java.util.Base64
+
+/** Turns claims into the content of rows and back. Bodies over [maxInlineBodyBytes] go through [objects]. */
+internal class ClaimCodec(
+    private val objects: ObjectStore,
+    private val maxInlineBodyBytes: Int,
+) {
+    /** The content of the row for [claim]; a large answer is stored as an object first. */
+    fun encode(claim: Claim, nowWallMs: Long): Either<TableFailure, String> =
+        encodeAnswer(claim).map { answer ->
+            val record =
+                ClaimRecord(
+                    digestHex = claim.digestHex,
+                    attemptId = claim.attempt.attemptId,
+                    upstreamId = claim.attempt.upstreamId,
+                    address = claim.attempt.address,
+                    incarnation = claim.attempt.incarnation,
+                    state = claim.state,
+                    writtenAtMs = nowWallMs,
+                    answer = answer,
+                )
+            JSON.encodeToString(ClaimRecord.serializer(), record)
+        }
+
+    /** The claim in [row]. */
+    fun decode(row: Row): Either<TableFailure, ClaimRow> {
+        val record = record(row)
+        val attempt = AttemptRef(record.attemptId, record.upstreamId, record.address, record.incarnation)
+        return decodeAnswer(record.answer).map { answer ->
+            ClaimRow(Claim(record.digestHex, attempt, record.state, answer), row.version)
+        }
+    }
+
+    /** The record in [row], without the body of a large answer. */
+    fun record(row: Row): ClaimRecord = JSON.decodeFromString(ClaimRecord.serializer(), row.value)
+
+    private fun encodeAnswer(claim: Claim): Either<TableFailure, AnswerRecord?> {
+        val answer = claim.answer ?: return null.right()
+        val record = AnswerRecord(answer.status, answer.headers)
+        if (answer.body.size <= maxInlineBodyBytes) {
+            return record.copy(bodyBase64 = Base64.getEncoder().encodeToString(answer.body)).right()
+        }
+        val name = "claim-answer-${claim.attempt.attemptId}"
+        return objects.put(name, answer.body).map { record.copy(objectName = name) }
+    }
+
+    private fun decodeAnswer(record: AnswerRecord?): Either<TableFailure, CallAnswer?> {
+        if (record == null) return null.right()
+        return body(record).map { CallAnswer(record.status, record.headers, it) }
+    }
+
+    private fun body(record: AnswerRecord): Either<TableFailure, ByteArray> {
+        val name = record.objectName ?: return Base64.getDecoder().decode(record.bodyBase64.orEmpty()).right()
+        return objects.get(name).flatMap { it?.right() ?: TableFailure.Unavailable("object $name is gone").left() }
+    }
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/CallersListener.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/CallersListener.kt
@@ -1,50 +1,62 @@
 package org.medlarhook.entry.http
 
-import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.left
-import arrow.core.right
 import io.javalin.Javalin
 import io.javalin.http.Context
-import kotlinx.serialization.json.buildJsonArray
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import org.medlarhook.core.directory.ServiceRoute
-import org.medlarhook.core.directory.Workspace
+import io.javalin.http.Handler
+import io.javalin.http.HandlerType
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.medlarhook.core.call.CallHeader
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.entry.directory.DirectoryView
 import org.medlarhook.platform.TimeSource
 import org.medlarhook.runtime.settings.EntrySettings
+import java.util.concurrent.ScheduledExecutorService
 
-/** The HTTP listener towards callers. */
+/** The HTTP listener towards callers. Requests are read and answered without holding a thread. */
 internal class CallersListener(
     private val settings: EntrySettings,
     private val time: TimeSource,
-    private val directory: DirectoryView,
-    private val chat: ChatHandler,
-    private val services: ServiceHandler,
+    private val scheduler: ScheduledExecutorService,
+    private val gate: Gate,
+    private val handlers: Handlers,
 ) {
+    /** What serves the routes. */
+    internal class Handlers(
+        val callers: Callers,
+        val chat: ChatHandler,
+        val services: ServiceHandler,
+        val models: ModelsHandler,
+    )
+
     private val server =
         Javalin.create { config ->
             config.startup.showJavalinBanner = false
             config.http.maxRequestSize = settings.limits.maxBodyBytes
+            config.jetty.modifyHttpConfiguration { http ->
+                http.requestHeaderSize = settings.limits.maxHeaderBytes
+                http.sendServerVersion = false
+            }
+            config.jetty.addConnector(::connector)
             config.routes.get("/healthz") { it.result("ok") }
-            config.routes.get("/readyz") { it.result("ok") }
-            config.routes.get("/v1/models") { context -> context.keyed { listModels(context) } }
-            config.routes.post("/v1/chat/completions") { context -> context.keyed { chat.handle(context, it) } }
-            val handler = io.javalin.http.Handler { callService(it) }
-            config.routes.get("/services/{service}/<path>", handler)
-            config.routes.post("/services/{service}/<path>", handler)
-            config.routes.put("/services/{service}/<path>", handler)
-            config.routes.patch("/services/{service}/<path>", handler)
-            config.routes.delete("/services/{service}/<path>", handler)
+            config.routes.get("/readyz") { it.status(if (gate.isReady) HTTP_OK else HTTP_UNAVAILABLE) }
+            config.routes.get("/v1/models") { asynchronously(it, handlers.models::handle) }
+            config.routes.post("/v1/chat/completions") { context -> asynchronously(context) { chat(context, it) } }
+            val service = Handler { context -> asynchronously(context) { callService(context, it) } }
+            SERVICE_METHODS.forEach { config.routes.addHttpHandler(it, "${SafePath.PREFIX}<path>", service) }
+            config.routes.error(HTTP_NOT_FOUND) { notFound(it) }
         }
 
+    /** The port that the listener has. */
+    val port: Int
+        get() = server.port()
+
     /** Opens the listener. */
     fun start() {
-        server.start(settings.callers.host, settings.callers.port)
+        server.start()
     }
 
     /** Closes the listener. */
@@ -52,56 +64,101 @@
         server.stop()
     }
 
-    private fun Context.keyed(block: (Workspace) -> Unit) {
-        authenticate(this).fold(ifLeft = { problem(it) }, ifRight = block)
-    }
+    private fun connector(server: Server, http: HttpConfiguration): ServerConnector =
+        ServerConnector(server, HttpConnectionFactory(http)).apply {
+            host = settings.callers.host
+            port = settings.callers.port
+            idleTimeout = settings.calls.callerIdleTimeoutMs
+        }
 
-    private fun authenticate(context: Context): Either<Failure, Workspace> {
-        val header = context.header("Authorization")
-        if (header == null || !header.startsWith(BEARER)) {
-            return Failure(ResultCode.KEY_MISSING, RunState.NOT_RUN).left()
+    private fun asynchronously(context: Context, handle: (CallerRequest) -> Unit) {
+        val requestId = RequestIds.of(context.header(HeaderNames.REQUEST_ID))
+        val exchange = Exchange(context, requestId, settings.calls.maxBufferedBytes)
+        val key = handlers.callers.presentedKey(context.header("Authorization"))
+        val deadline = context.header(HeaderNames.DEADLINE)
+        val caller = CallerRequest(exchange, time.monotonicMs(), key, deadline)
+        context.future {
+            val refusal = gate.refusal()
+            if (refusal == null) handle(caller) else exchange.problem(refusal)
+            exchange.completion
         }
-        return directory.authenticate(header.removePrefix(BEARER).trim(), time.monotonicMs())
     }
 
-    private fun callService(context: Context) {
-        val service = context.pathParam("service")
-        val path = context.pathParam("path")
-        route(context, service, path)
-            .flatMap { route -> if (route.open) (null as Workspace?).right() else authenticate(context) }
-            .fold(
-                ifLeft = { context.problem(it) },
-                ifRight = { workspace -> services.handle(context, workspace, service, path) },
-            )
+    private fun chat(context: Context, caller: CallerRequest) {
+        val chat = handlers.chat
+        chat.workspace(caller).fold(
+            ifLeft = { chat.refuse(caller, it) },
+            ifRight = { workspace ->
+                readBody(context, caller, { chat.refuse(caller, it) }) { body -> chat.handle(caller, workspace, body) }
+            },
+        )
     }
 
-    private fun route(context: Context, service: String, path: String): Either<Failure, ServiceRoute> =
-        directory
-            .service(service)
-            ?.routes
-            ?.firstOrNull { it.matches(context.method().name, "/$path") }
-            ?.right()
-            ?: Failure(ResultCode.UNKNOWN_SERVICE, RunState.NOT_RUN).left()
+    private fun callService(context: Context, caller: CallerRequest) {
+        val head = head(context)
+        val services = handlers.services
+        services.admit(caller, head).fold(
+            ifLeft = { services.refuse(caller, it) },
+            ifRight = { admitted ->
+                readBody(context, caller, { services.refuse(caller, it) }) { body ->
+                    services.handle(caller, head, admitted, body)
+                }
+            },
+        )
+    }
 
-    private fun ServiceRoute.matches(method: String, path: String): Boolean =
-        path.startsWith(pathPrefix) && (methods.isEmpty() || method in methods)
+    private fun head(context: Context): ServiceCallHead {
+        val request = context.req()
+        val headers =
+            request.headerNames.asSequence().flatMap { name ->
+                request.getHeaders(name).asSequence().map { CallHeader(name, it) }
+            }
+        return ServiceCallHead(
+            method = request.method,
+            requestUri = request.requestURI,
+            query = request.queryString,
+            headers = headers.toList(),
+            idempotencyKey = request.getHeader(HeaderNames.IDEMPOTENCY_KEY),
+        )
+    }
 
-    private fun listModels(context: Context) {
-        val data =
-            buildJsonArray {
-                directory.models().forEach { model ->
-                    add(
-                        buildJsonObject {
-                            put("id", model.name)
-                            put("object", "model")
-                        },
-                    )
+    private fun readBody(
+        context: Context,
+        caller: CallerRequest,
+        refuse: (Failure) -> Unit,
+        use: (ByteArray) -> Unit,
+    ) {
+        val listener =
+            object : BodyListener {
+                override fun complete(body: ByteArray) {
+                    caller.exchange.isBodyRead = true
+                    use(body)
                 }
+
+                override fun failed(failure: Failure) = refuse(failure)
             }
-        context.contentType("application/json").result("""{"object":"list","data":$data}""")
+        BodyReader(context.req(), settings.limits.maxBodyBytes, listener)
+            .start(scheduler, settings.calls.bodyTimeoutMs)
+    }
+
+    private fun notFound(context: Context) {
+        val failure = Failure(ResultCode.NOT_FOUND, RunState.NOT_RUN)
+        context.contentType("application/problem+json").result(failure.toJson().toString())
     }
 
     private companion object {
-        const val BEARER = "Bearer "
+        const val HTTP_OK = 200
+        const val HTTP_NOT_FOUND = 404
+        const val HTTP_UNAVAILABLE = 503
+        val SERVICE_METHODS =
+            listOf(
+                HandlerType.GET,
+                HandlerType.HEAD,
+                HandlerType.POST,
+                HandlerType.PUT,
+                HandlerType.PATCH,
+                HandlerType.DELETE,
+                HandlerType.OPTIONS,
+            )
     }
 }
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/ChatHandler.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/ChatHandler.kt
@@ -2,144 +2,103 @@
 
 import arrow.core.Either
 import arrow.core.left
+import arrow.core.raise.either
 import arrow.core.right
-import io.grpc.StatusRuntimeException
-import io.javalin.http.Context
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
+import org.medlarhook.core.directory.ModelDeclaration
 import org.medlarhook.core.directory.Workspace
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.entry.directory.DirectoryView
-import org.medlarhook.entry.routing.UpstreamChooser
-import org.medlarhook.entry.upstream.UpstreamLink
-import org.medlarhook.entry.upstream.UpstreamPool
-import org.medlarhook.protocol.GenerateEvent
-import org.medlarhook.protocol.GenerateRequest
-import org.medlarhook.protocol.SidecarServiceGrpc
-import java.util.UUID
-import java.util.concurrent.TimeUnit
+import org.medlarhook.entry.call.CallServices
+import org.medlarhook.entry.call.GenerationCall
+import org.medlarhook.entry.call.GenerationJob
+import org.medlarhook.entry.call.RequestInfo
 
 /** Handles `POST /v1/chat/completions`, plain and streamed. */
 internal class ChatHandler(
-    private val directory: DirectoryView,
-    private val pool: UpstreamPool,
-    private val chooser: UpstreamChooser,
+    private val services: CallServices,
+    private val callers: Callers,
+    private val outcomes: Outcomes,
+    private val maxDeadlineMs: Long,
 ) {
+    /** Refuses a request that must not be read further. */
+    fun refuse(caller: CallerRequest, failure: Failure) {
+        outcomes.ended(GenerationCall.KIND, caller.exchange.requestId, caller.receivedAtMs, failure)
+        caller.exchange.problem(failure)
+    }
+
+    /** The workspace that may call, checked before the body is read. */
+    fun workspace(caller: CallerRequest): Either<Failure, Workspace> =
+        callers.workspace(caller.presentedKey, caller.receivedAtMs)
+
     /** Answers one request of [workspace]. */
-    fun handle(context: Context, workspace: Workspace) {
-        parse(context.body()).fold(
-            ifLeft = { context.problem(it) },
-            ifRight = { request -> serve(context, workspace, request) },
+    fun handle(caller: CallerRequest, workspace: Workspace, body: ByteArray) {
+        prepare(caller, workspace, body).fold(
+            ifLeft = { refuse(caller, it) },
+            ifRight = { start(caller, it) },
         )
     }
 
-    private fun parse(body: String): Either<Failure, ChatRequest> =
-        try {
-            JSON.decodeFromString(ChatRequest.serializer(), body).right()
-        } catch (e: SerializationException) {
-            Failure(ResultCode.MALFORMED_BODY, RunState.NOT_RUN, e.message.orEmpty().lineSequence().first()).left()
-        }
+    private class Prepared(
+        val request: ChatRequest,
+        val job: GenerationJob,
+        val info: RequestInfo,
+    )
 
-    private fun serve(context: Context, workspace: Workspace, request: ChatRequest) {
-        if (directory.model(request.model) == null) {
-            context.problem(Failure(ResultCode.UNKNOWN_MODEL, RunState.NOT_RUN))
-            return
+    private fun prepare(caller: CallerRequest, workspace: Workspace, body: ByteArray): Either<Failure, Prepared> =
+        either {
+            val request = ChatRequestParser.parse(body).bind()
+            val model = model(workspace, request.model).bind()
+            val maxOutputTokens = maxOutputTokens(request, model).bind()
+            val remainingMs = Deadlines.read(caller.deadlineHeader, model.defaultDeadlineMs, maxDeadlineMs).bind()
+            val prompt = ChatRequestParser.prompt(request)
+            val promptTokens = prompt.length / CHARS_PER_TOKEN + 1
+            Prepared(
+                request,
+                GenerationJob(model.name, prompt, promptTokens, maxOutputTokens, workspace),
+                RequestInfo(
+                    requestId = caller.exchange.requestId,
+                    workspace = workspace,
+                    presentedKey = caller.presentedKey,
+                    startedAtMs = caller.receivedAtMs,
+                    deadlineAtMs = caller.receivedAtMs + remainingMs,
+                ),
+            )
         }
-        val link = chooser.choose(pool.forModel(request.model))
-        if (link == null) {
-            context.problem(Failure(ResultCode.NO_UPSTREAM, RunState.NOT_RUN, retryAfterMs = RETRY_AFTER_MS))
-            return
-        }
-        link.outstanding.incrementAndGet()
-        try {
-            val deadlineMs = context.header(DEADLINE_HEADER)?.toLongOrNull() ?: DEFAULT_DEADLINE_MS
-            val events = generate(link, workspace, request, deadlineMs)
-            if (request.stream) stream(context, request, events) else collect(context, request, events)
-        } finally {
-            link.outstanding.decrementAndGet()
-        }
-    }
 
-    private fun generate(
-        link: UpstreamLink,
-        workspace: Workspace,
-        request: ChatRequest,
-        deadlineMs: Long,
-    ): Iterator<GenerateEvent> {
-        val prompt = request.messages.joinToString("\n") { "${it.role}: ${it.content}" }
-        val message =
-            GenerateRequest
-                .newBuilder()
-                .setAttemptId(UUID.randomUUID().toString())
-                .setWorkspace(workspace.name)
-                .setWeight(workspace.weight)
-                .setIncarnation(link.registration.incarnation)
-                .setModel(request.model)
-                .setPrompt(prompt)
-                .setPromptTokens(prompt.length / CHARS_PER_TOKEN + 1)
-                .setMaxOutputTokens(request.maxTokens)
-                .setRemainingMs(deadlineMs)
-                .build()
-        return SidecarServiceGrpc
-            .newBlockingStub(link.channel)
-            .withDeadlineAfter(deadlineMs, TimeUnit.MILLISECONDS)
-            .generate(message)
-    }
-
-    private fun collect(context: Context, request: ChatRequest, events: Iterator<GenerateEvent>) {
-        val text = StringBuilder()
-        try {
-            for (event in events) {
-                if (event.hasRefusal()) {
-                    context.problem(event.refusal.toFailure())
-                    return
-                }
-                event.tokens.textsList.forEach { text.append(it) }
+    private fun start(caller: CallerRequest, prepared: Prepared) {
+        val exchange = caller.exchange
+        val request = prepared.request
+        val json = ChatJson(exchange.requestId, request.model, services.time.wallMs() / MS_PER_S)
+        val includesUsage = request.streamOptions?.includeUsage ?: false
+        val sink = if (request.stream) StreamSink(exchange, json, includesUsage) else WholeSink(exchange, json)
+        val call =
+            GenerationCall(services, prepared.info, prepared.job, sink) { failure ->
+                outcomes.ended(GenerationCall.KIND, exchange.requestId, caller.receivedAtMs, failure)
             }
-        } catch (e: StatusRuntimeException) {
-            context.problem(Failure(ResultCode.UPSTREAM_FAILED, RunState.UNKNOWN, e.status.code.name))
-            return
-        }
-        context.contentType("application/json").result(completion(request, text.toString()))
+        exchange.whenLost = call::callerLeft
+        exchange.whenDrained = call::drained
+        call.start()
     }
 
-    private fun stream(context: Context, request: ChatRequest, events: Iterator<GenerateEvent>) {
-        context.contentType("text/event-stream")
-        val output = context.res().outputStream
-        for (event in events) {
-            if (event.hasRefusal()) {
-                output.write("data: {\"error\":${event.refusal.toFailure().toJson()}}\n\n".encodeToByteArray())
-                output.flush()
-                return
-            }
-            event.tokens.textsList.forEach { output.write("data: ${chunk(request, it)}\n\n".encodeToByteArray()) }
-            output.flush()
-        }
-        output.write("data: [DONE]\n\n".encodeToByteArray())
-        output.flush()
+    private fun model(workspace: Workspace, name: String): Either<Failure, ModelDeclaration> {
+        val model = services.directory.model(name) ?: return refused(ResultCode.UNKNOWN_MODEL)
+        return if (callers.mayUseModel(workspace, name)) model.right() else refused(ResultCode.MODEL_NOT_ALLOWED)
     }
 
-    private fun completion(request: ChatRequest, text: String): String =
-        """{"object":"chat.completion","model":${JsonPrimitive(request.model)},"choices":[{"index":0,""" +
-            """"finish_reason":"stop","message":{"role":"assistant","content":${JsonPrimitive(text)}}}]}"""
+    private fun maxOutputTokens(request: ChatRequest, model: ModelDeclaration): Either<Failure, Int> {
+        val wanted =
+            request.maxTokens ?: request.maxCompletionTokens ?: minOf(DEFAULT_MAX_TOKENS, model.maxOutputTokens)
+        if (wanted in 1..model.maxOutputTokens) return wanted.right()
+        val detail = "the number of output tokens is not in 1..${model.maxOutputTokens}"
+        return Failure(ResultCode.BAD_PARAMETER, RunState.NOT_RUN, detail).left()
+    }
 
-    private fun chunk(request: ChatRequest, text: String): String =
-        buildJsonObject {
-            put("object", "chat.completion.chunk")
-            put("model", request.model)
-            put("text", text)
-        }.toString()
+    private fun refused(code: ResultCode) = Failure(code, RunState.NOT_RUN).left()
 
     private companion object {
-        const val DEADLINE_HEADER = "X-Deadline-Ms"
-        const val DEFAULT_DEADLINE_MS = 60_000L
-        const val RETRY_AFTER_MS = 1_000L
+        const val DEFAULT_MAX_TOKENS = 256
         const val CHARS_PER_TOKEN = 4
-        val JSON = Json { ignoreUnknownKeys = false }
+        const val MS_PER_S = 1_000L
     }
 }
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/ChatRequest.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/ChatRequest.kt
@@ -2,20 +2,38 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
 
-/** The body of `POST /v1/chat/completions`. */
+/** The body of `POST /v1/chat/completions`. Sampling fields are checked; the engines choose how to sample. */
 @Serializable
 internal data class ChatRequest(
     val model: String,
     val messages: List<ChatMessage>,
     val stream: Boolean = false,
-    @SerialName("max_tokens") val maxTokens: Int = 256,
+    @SerialName("stream_options") val streamOptions: StreamOptions? = null,
+    @SerialName("max_tokens") val maxTokens: Int? = null,
+    @SerialName("max_completion_tokens") val maxCompletionTokens: Int? = null,
+    val temperature: Double? = null,
+    @SerialName("top_p") val topP: Double? = null,
+    @SerialName("presence_penalty") val presencePenalty: Double? = null,
+    @SerialName("frequency_penalty") val frequencyPenalty: Double? = null,
+    val n: Int? = null,
+    val stop: JsonElement? = null,
+    val seed: Long? = null,
     val user: String? = null,
+    val metadata: Map<String, String>? = null,
 )
 
-/** One message of a chat. */
+/** One message of a chat; the content is a text or a list of text parts. */
 @Serializable
 internal data class ChatMessage(
     val role: String,
-    val content: String,
+    val content: JsonElement,
+    val name: String? = null,
+)
+
+/** Options of a stream. */
+@Serializable
+internal data class StreamOptions(
+    @SerialName("include_usage") val includeUsage: Boolean = false,
 )
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/ServiceHandler.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/ServiceHandler.kt
@@ -1,74 +1,138 @@
 package org.medlarhook.entry.http
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
 import com.google.protobuf.ByteString
-import io.grpc.StatusRuntimeException
-import io.javalin.http.Context
+import org.medlarhook.core.call.CallAnswer
+import org.medlarhook.core.call.CallHeader
+import org.medlarhook.core.claim.OnceRequest
 import org.medlarhook.core.directory.Workspace
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.entry.routing.UpstreamChooser
-import org.medlarhook.entry.upstream.UpstreamPool
-import org.medlarhook.protocol.Header
-import org.medlarhook.protocol.ServiceAnswer
-import org.medlarhook.protocol.ServiceCall
-import org.medlarhook.protocol.SidecarServiceGrpc
-import java.util.UUID
-import java.util.concurrent.TimeUnit
+import org.medlarhook.entry.call.CallServices
+import org.medlarhook.entry.call.PlainServiceCall
+import org.medlarhook.entry.call.RequestInfo
+import org.medlarhook.entry.call.ServiceCallListener
+import org.medlarhook.entry.call.ServiceJob
+import org.medlarhook.entry.claim.ClaimKey
+import java.security.MessageDigest
 
-/** Handles calls of plain services. Only the content headers go inward; keys and cookies stay here. */
+/** Handles calls of plain services. */
 internal class ServiceHandler(
-    private val pool: UpstreamPool,
-    private val chooser: UpstreamChooser,
+    private val services: CallServices,
+    private val callers: Callers,
+    private val outcomes: Outcomes,
+    private val maxDeadlineMs: Long,
 ) {
-    /** Answers one call of [service]; [workspace] is null on an open route. */
-    fun handle(context: Context, workspace: Workspace?, service: String, path: String) {
-        val link = chooser.choose(pool.forService(service))
-        if (link == null) {
-            context.problem(Failure(ResultCode.NO_UPSTREAM, RunState.NOT_RUN, retryAfterMs = RETRY_AFTER_MS))
-            return
-        }
-        val query = context.queryString()?.let { "?$it" }.orEmpty()
-        val call =
-            ServiceCall
-                .newBuilder()
-                .setAttemptId(UUID.randomUUID().toString())
-                .setWorkspace(workspace?.name.orEmpty())
-                .setIncarnation(link.registration.incarnation)
-                .setService(service)
-                .setMethod(context.method().name)
-                .setPathAndQuery("/$path$query")
-                .setBody(ByteString.copyFrom(context.bodyAsBytes()))
-                .setRemainingMs(DEADLINE_MS)
-                .addAllHeaders(inwardHeaders(context))
-                .build()
-        try {
-            val stub = SidecarServiceGrpc.newBlockingStub(link.channel)
-            answer(context, stub.withDeadlineAfter(DEADLINE_MS, TimeUnit.MILLISECONDS).callService(call))
-        } catch (e: StatusRuntimeException) {
-            context.problem(Failure(ResultCode.OUTCOME_UNKNOWN, RunState.UNKNOWN, e.status.code.name))
+    /** Refuses a call that must not be read further. */
+    fun refuse(caller: CallerRequest, failure: Failure) {
+        outcomes.ended(PlainServiceCall.KIND, caller.exchange.requestId, caller.receivedAtMs, failure)
+        caller.exchange.problem(failure)
+    }
+
+    /** The route and the workspace of a call, checked before the body is read. */
+    fun admit(caller: CallerRequest, head: ServiceCallHead): Either<Failure, AdmittedCall> =
+        either {
+            val path = SafePath.parse(head.requestUri).bind()
+            val called = callers.route(path, head.method).bind()
+            val workspace = callers.workspaceFor(called, caller.presentedKey, caller.receivedAtMs).bind()
+            val filter = InwardFilter(caller.presentedKey)
+            if (filter.holdsKey(path.decoded)) raise(Failure(ResultCode.BAD_PARAMETER, RunState.NOT_RUN, KEY_IN_PATH))
+            val key = idempotencyKey(head, called, workspace).bind()
+            AdmittedCall(path, called, workspace, key)
         }
+
+    /** Runs an admitted call. */
+    fun handle(
+        caller: CallerRequest,
+        head: ServiceCallHead,
+        admitted: AdmittedCall,
+        body: ByteArray,
+    ) {
+        val defaultMs = admitted.called.service.defaultDeadlineMs
+        Deadlines.read(caller.deadlineHeader, defaultMs, maxDeadlineMs).fold(
+            ifLeft = { refuse(caller, it) },
+            ifRight = { remainingMs ->
+                val info = info(caller, admitted.workspace, remainingMs)
+                PlainServiceCall(services, info, job(caller, head, admitted, info, body), Answering(caller)).start()
+            },
+        )
+    }
+
+    private fun info(caller: CallerRequest, workspace: Workspace?, remainingMs: Long) =
+        RequestInfo(
+            requestId = caller.exchange.requestId,
+            workspace = workspace,
+            presentedKey = caller.presentedKey,
+            startedAtMs = caller.receivedAtMs,
+            deadlineAtMs = caller.receivedAtMs + remainingMs,
+        )
+
+    private fun job(
+        caller: CallerRequest,
+        head: ServiceCallHead,
+        admitted: AdmittedCall,
+        info: RequestInfo,
+        body: ByteArray,
+    ): ServiceJob {
+        val filter = InwardFilter(caller.presentedKey)
+        val query = filter.query(head.query)
+        val pathAndQuery = admitted.path.raw + query?.let { "?$it" }.orEmpty()
+        return ServiceJob(
+            service = admitted.path.service,
+            method = head.method,
+            pathAndQuery = pathAndQuery,
+            headers = filter.headers(head.headers),
+            body = ByteString.copyFrom(body),
+            claimKey = admitted.claimKey,
+            once =
+                OnceRequest(
+                    deadlineAtMs = info.deadlineAtMs,
+                    digestHex = digest(head.method, admitted.path.service + pathAndQuery, body),
+                    keyed = admitted.claimKey != null,
+                    repeatable = admitted.called.route.idempotent,
+                ),
+        )
     }
 
-    private fun answer(context: Context, answer: ServiceAnswer) {
-        if (answer.hasRefusal()) {
-            context.problem(answer.refusal.toFailure())
-            return
+    /** A call of an idempotent route needs no claim: running it again does no harm. */
+    private fun idempotencyKey(
+        head: ServiceCallHead,
+        called: CalledRoute,
+        workspace: Workspace?,
+    ): Either<Failure, ClaimKey?> {
+        val key = head.idempotencyKey ?: return null.right()
+        if (!ClaimKey.isWellFormed(key)) {
+            return Failure(ResultCode.BAD_PARAMETER, RunState.NOT_RUN, "the idempotency key is not well-formed").left()
         }
-        val response = answer.response
-        response.headersList.filter { it.name.lowercase() in PASSED }.forEach { context.header(it.name, it.value) }
-        context.status(response.status).result(response.body.toByteArray())
+        if (called.route.idempotent) return null.right()
+        return ClaimKey(workspace?.name ?: "$OPEN_SCOPE${called.service.name}", key).right()
+    }
+
+    private fun digest(method: String, path: String, body: ByteArray): String {
+        val digest = MessageDigest.getInstance("SHA-256")
+        digest.update("$method $path\n".encodeToByteArray())
+        return digest.digest(body).joinToString("") { "%02x".format(it) }
     }
 
-    private fun inwardHeaders(context: Context): List<Header> =
-        context
-            .headerMap()
-            .filterKeys { it.lowercase() in PASSED }
-            .map { (name, value) -> Header.newBuilder().setName(name).setValue(value).build() }
+    private inner class Answering(
+        private val caller: CallerRequest,
+    ) : ServiceCallListener {
+        override fun answered(answer: CallAnswer, isReplay: Boolean) {
+            outcomes.ended(PlainServiceCall.KIND, caller.exchange.requestId, caller.receivedAtMs, null)
+            val mark = if (isReplay) listOf(CallHeader(HeaderNames.IDEMPOTENCY_REPLAYED, "true")) else emptyList()
+            val headers = OutwardFilter.headers(answer.headers) + mark
+            caller.exchange.respond(answer.status, contentType = null, headers, answer.body)
+        }
+
+        override fun failed(failure: Failure) = refuse(caller, failure)
+    }
 
     private companion object {
-        const val DEADLINE_MS = 10_000L
-        const val RETRY_AFTER_MS = 1_000L
-        val PASSED = setOf("content-type", "accept", "accept-language", "content-language", "etag", "cache-control")
+        const val OPEN_SCOPE = "~open~"
+        const val KEY_IN_PATH = "the path holds the key"
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/WholeSink.kt
@@ -0,0 +1,34 @@
+package org.medlarhook.entry.http
+
+import org.medlarhook.core.result.Failure
+import org.medlarhook.entry.call.GenerationSink
+import org.medlarhook.entry.call.Usage
+
+/** Collects a generation and answers once it is whole. */
+internal class WholeSink(
+    private val exchange: Exchange,
+    private val json: ChatJson,
+) : GenerationSink {
+    private val text = StringBuilder()
+
+    override val isFull: Boolean = false
+
+    override fun deliver(texts: List<String>) {
+        texts.forEach { text.append(it) }
+    }
+
+    override fun finish(finishReason: String, usage: Usage) {
+        val body = json.completion(text.toString(), finishReason, usage)
+        exchange.respond(HTTP_OK, "application/json", emptyList(), body.encodeToByteArray())
+    }
+
+    override fun fail(failure: Failure) {
+        exchange.problem(failure)
+    }
+
+    override fun heartbeat() = Unit
+
+    private companion object {
+        const val HTTP_OK = 200
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
@@ -0,0 +1,31 @@
+package org.medlarhook.entry.upstream
+
+import io.grpc.ManagedChannel
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
+import java.util.concurrent.Executor
+import java.util.concurrent.TimeUnit
+
+/**
+ * Opens channels without encryption. gRPC's own retries are off; what it may still send again is a call that has
+ * surely not reached the application, and the sidecar knows such a call by its attempt id.
+ */
+internal class PlainChannelFactory(
+    private val workers: Executor,
+) : ChannelFactory {
+    override fun open(address: String): ManagedChannel =
+        NettyChannelBuilder
+            .forTarget(address)
+            .usePlaintext()
+            .disableRetry()
+            .executor(workers)
+            .keepAliveTime(KEEP_ALIVE_S, TimeUnit.SECONDS)
+            .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_S, TimeUnit.SECONDS)
+            .maxInboundMessageSize(MAX_MESSAGE_BYTES)
+            .build()
+
+    private companion object {
+        const val KEEP_ALIVE_S = 300L
+        const val KEEP_ALIVE_TIMEOUT_S = 5L
+        const val MAX_MESSAGE_BYTES = 16_777_216
+    }
+}
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -9,6 +9,9 @@
  * @property callers listener towards callers, host and port.
  * @property operators listener towards operators.
  * @property peers gRPC listener towards other entries.
+ * @property calls attempts, timeouts and buffers.
+ * @property claims recording of idempotency keys.
+ * @property shutdown the graceful shutdown.
  */
 @Serializable
 public data class EntrySettings(
@@ -21,6 +24,9 @@
     val peers: ListenAddress,
     val platform: PlatformSettings,
     val limits: CallerLimits = CallerLimits(),
+    val calls: CallSettings = CallSettings(),
+    val claims: ClaimSettings = ClaimSettings(),
+    val shutdown: ShutdownSettings = ShutdownSettings(),
 )
 
 /** Host and port to listen on. */
