Run the directory's replica in each entry

Cause: entries polled the tables by themselves, served keys on information of any age, and wrote the directory without any condition. Ruled out: a push of changes between entries (pull by version is enough, and an answer to one's own request is the only message whose age is bounded).

--- a/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryReplica.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryReplica.kt
@@ -44,7 +44,7 @@
         val next = based.applied(page.changes).copy(reach = state.reach.readOk(nowMs))
         if (next.directory.version < page.headVersion) {
             val started = next.copy(schedule = next.schedule.copy(pollStartedMs = nowMs, lastPollStartedMs = nowMs))
-            return ReplicaStep(started, listOf(ReplicaAction.PollTables(next.directory.version)))
+            return ReplicaStep(started, listOf(ReplicaAction.PollTables(next.directory.version, nowMs)))
         }
         return ReplicaStep(scheduler.afterRead(next.withNews(event.startedAtMs), event.startedAtMs, nowMs))
     }
--- a/core/src/main/kotlin/org/medlarhook/core/directory/ReplicaAction.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/ReplicaAction.kt
@@ -4,9 +4,10 @@
 
 /** What a replica asks the process around it to do. */
 public sealed interface ReplicaAction {
-    /** Poll the tables for what is new above [version]. */
+    /** Poll the tables for what is new above [version]; the answer counts from [startedAtMs]. */
     public data class PollTables(
         val version: Long,
+        val startedAtMs: Long,
     ) : ReplicaAction
 
     /** Read the entry table whole. */
--- a/core/src/main/kotlin/org/medlarhook/core/directory/ReplicaScheduler.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/ReplicaScheduler.kt
@@ -58,7 +58,7 @@
         val schedule = state.schedule
         if (schedule.pollStartedMs != null || nowMs < schedule.nextPollMs) return ReplicaStep(state)
         val planned = state.planned { copy(pollStartedMs = nowMs, lastPollStartedMs = nowMs) }
-        return ReplicaStep(planned, listOf(ReplicaAction.PollTables(state.directory.version)))
+        return ReplicaStep(planned, listOf(ReplicaAction.PollTables(state.directory.version, nowMs)))
     }
 
     private fun readEntries(state: ReplicaState, nowMs: Long): ReplicaStep {
--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -1,17 +1,14 @@
 package org.medlarhook.entry
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
-import org.medlarhook.entry.directory.PolledDirectory
+import org.medlarhook.entry.directory.DirectoryService
 import org.medlarhook.entry.http.CallersListener
 import org.medlarhook.entry.http.ChatHandler
 import org.medlarhook.entry.http.ServiceHandler
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
-import org.medlarhook.entry.operators.InForceView
 import org.medlarhook.entry.operators.OperatorsRoutes
 import org.medlarhook.entry.routing.LeastOutstandingChooser
 import org.medlarhook.entry.upstream.UpstreamPool
@@ -20,7 +17,6 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.operators.OperatorsListener
 import org.medlarhook.runtime.operators.StateDump
-import org.medlarhook.runtime.operators.api.InForceAnswer
 import org.medlarhook.runtime.platform.HttpPlatform
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
@@ -36,14 +32,17 @@
 ) {
     private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
     private val tables = HttpTableService(platform)
-    private val reader = DirectoryReader(tables, HttpPlatform(platform))
-    private val directory = PolledDirectory(reader)
+    private val objects = HttpPlatform(platform)
+    private val reader = DirectoryReader(tables, objects)
+    private val directoryService =
+        DirectoryService(settings, tables, objects, objects, SystemTimeSource)
+    private val directory = directoryService.view
     private val pool = UpstreamPool(tables)
     private val scheduler = Executors.newScheduledThreadPool(2)
 
     /** Opens the listeners and follows the tables until the process is stopped. */
     public fun run() {
-        scheduler.scheduleWithFixedDelay({ directory.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
+        directoryService.start()
         scheduler.scheduleWithFixedDelay({ pool.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
         val chat = ChatHandler(directory, pool, LeastOutstandingChooser)
         val services = ServiceHandler(pool, LeastOutstandingChooser)
@@ -52,7 +51,7 @@
             OperatorsListener(
                 address = settings.operators,
                 time = SystemTimeSource,
-                isReady = { directory.version > 0 },
+                isReady = { directoryService.isReady },
                 dumps = dumps(),
                 routes = operatorsRoutes()::register,
             )
@@ -62,13 +61,12 @@
     }
 
     private fun operatorsRoutes(): OperatorsRoutes {
-        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader))
-        val inForce = InForceView { version, _ -> InForceAnswer(version, directory.version >= version, emptyList()) }
-        return OperatorsRoutes(config, inForce, SystemTimeSource)
+        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader), directoryService.appender)
+        return OperatorsRoutes(config, directoryService.inForce, SystemTimeSource)
     }
 
     private fun dumps(): Map<String, StateDump> =
-        mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) })
+        mapOf("directory" to directoryService.dump)
 
     private companion object {
         const val POLL_MS = 1_000L
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DigestCodec.kt
@@ -0,0 +1,63 @@
+package org.medlarhook.entry.directory
+
+import org.medlarhook.core.directory.DirectoryChange
+import org.medlarhook.core.directory.DirectoryJson
+import org.medlarhook.core.directory.PeerDigest
+import org.medlarhook.core.directory.RelayedSighting
+import org.medlarhook.core.membership.EntryRegistration
+import org.medlarhook.protocol.ChangesPage
+import org.medlarhook.protocol.DirectoryChangeMessage
+import org.medlarhook.protocol.DirectoryDigest
+import org.medlarhook.protocol.EntrySighting
+
+/** The digest as a message. */
+internal fun PeerDigest.toMessage(): DirectoryDigest =
+    DirectoryDigest
+        .newBuilder()
+        .setEntryId(sender.entryId)
+        .setVmId(sender.vmId)
+        .setDataCentre(sender.dataCentre)
+        .setRegion(sender.region)
+        .setPeerAddress(sender.peerAddress)
+        .setVersion(version)
+        .setKnowsNews(newsAgeMs != null)
+        .setNewsAgeMs(newsAgeMs ?: 0)
+        .setReachesTables(reachesTables)
+        .addAllSightings(sightings.map { it.toMessage() })
+        .build()
+
+/** The digest that the message holds. */
+internal fun DirectoryDigest.toDigest(): PeerDigest =
+    PeerDigest(
+        sender = EntryRegistration(entryId, vmId, dataCentre, region, peerAddress, startNonce = ""),
+        version = version,
+        newsAgeMs = newsAgeMs.takeIf { knowsNews },
+        reachesTables = reachesTables,
+        sightings = sightingsList.map { RelayedSighting(it.entryId, it.ageMs, it.reachesTables) },
+    )
+
+/** A page of changes as a message. */
+internal fun List<DirectoryChange>.toPage(version: Long): ChangesPage =
+    ChangesPage
+        .newBuilder()
+        .setVersion(version)
+        .addAllChanges(map { it.toMessage() })
+        .build()
+
+/** The changes that the page holds. */
+internal fun ChangesPage.toChanges(): List<DirectoryChange> = changesList.map { DirectoryJson.decodeChange(it.json) }
+
+private fun DirectoryChange.toMessage(): DirectoryChangeMessage =
+    DirectoryChangeMessage
+        .newBuilder()
+        .setVersion(version)
+        .setJson(DirectoryJson.encode(this))
+        .build()
+
+private fun RelayedSighting.toMessage(): EntrySighting =
+    EntrySighting
+        .newBuilder()
+        .setEntryId(entryId)
+        .setAgeMs(ageMs)
+        .setReachesTables(reachesTables)
+        .build()
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryView.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryView.kt
@@ -14,6 +14,9 @@
     /** The workspace of a presented key, or why the key is refused at [nowMs]. */
     fun authenticate(presentedKey: String, nowMs: Long): Either<Failure, Workspace>
 
+    /** Whether a request that is open may go on with the key that it came with. */
+    fun stillAllowed(presentedKey: String, nowMs: Long): Boolean = authenticate(presentedKey, nowMs).isRight()
+
     /** The model of that name, or null. */
     fun model(name: String): ModelDeclaration?
 
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/EntryRegistrar.kt
@@ -0,0 +1,56 @@
+package org.medlarhook.entry.directory
+
+import arrow.core.Either
+import arrow.core.flatMap
+import kotlinx.serialization.json.Json
+import org.medlarhook.core.membership.EntryRegistration
+import org.medlarhook.platform.Row
+import org.medlarhook.platform.RowKey
+import org.medlarhook.platform.TableFailure
+import org.medlarhook.platform.TableNames
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.Transaction
+import org.medlarhook.platform.Write
+
+/** Keeps this entry's row in the entry table. */
+internal class EntryRegistrar(
+    private val tables: TableService,
+    private val self: EntryRegistration,
+) {
+    /**
+     * Writes the row. Rows of earlier processes at the same address go, since this process holds the listening port;
+     * doing so again changes nothing.
+     */
+    fun register(): Either<TableFailure, Unit> =
+        rows().flatMap { rows ->
+            val old = rows.filter { it.peerAddress == self.peerAddress && it.entryId != self.entryId }
+            val writes = old.map { Write(keyOf(it.entryId), null) } + Write(keyOf(self.entryId), encode(self))
+            tables.transact(Transaction(emptyList(), writes)).map { }
+        }
+
+    /** Deletes the row, as the last step of a graceful stop. */
+    fun deregister(): Either<TableFailure, Unit> = remove(listOf(self.entryId))
+
+    /** Deletes the rows of entries that have stopped. */
+    fun remove(entryIds: List<String>): Either<TableFailure, Unit> =
+        tables.transact(Transaction(emptyList(), entryIds.map { Write(keyOf(it), null) })).map { }
+
+    /** Reads all rows. */
+    fun rows(): Either<TableFailure, List<EntryRegistration>> = page("").map { rows -> rows.map { decode(it) } }
+
+    private fun page(afterKey: String): Either<TableFailure, List<Row>> =
+        tables.scan(TableNames.ENTRY, afterKey = afterKey).flatMap { rows ->
+            val last = rows.lastOrNull()
+            if (last == null) Either.Right(rows) else page(last.key.key).map { rows + it }
+        }
+
+    private fun keyOf(entryId: String) = RowKey(TableNames.ENTRY, entryId)
+
+    private fun encode(row: EntryRegistration) = JSON.encodeToString(EntryRegistration.serializer(), row)
+
+    private fun decode(row: Row) = JSON.decodeFromString(EntryRegistration.serializer(), row.value)
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/PeerRpc.kt
@@ -0,0 +1,43 @@
+package org.medlarhook.entry.directory
+
+import io.grpc.Status
+import io.grpc.stub.StreamObserver
+import org.medlarhook.core.directory.DigestBuilder
+import org.medlarhook.core.directory.ReplicaEvent
+import org.medlarhook.core.directory.ReplicaState
+import org.medlarhook.protocol.ChangesPage
+import org.medlarhook.protocol.ChangesRequest
+import org.medlarhook.protocol.DirectoryDigest
+import org.medlarhook.protocol.EntryServiceGrpc
+
+/** Answers the calls of other entries. */
+internal class PeerRpc(
+    private val replica: ReplicaRunner,
+    private val digests: DigestBuilder,
+) : EntryServiceGrpc.EntryServiceImplBase() {
+    override fun exchangeDigest(request: DirectoryDigest, responses: StreamObserver<DirectoryDigest>) =
+        answer(responses) {
+            replica.on(ReplicaEvent.PeerCalled(request.toDigest()))
+            digests.build(it, replica.nowMs()).toMessage()
+        }
+
+    override fun fetchChanges(request: ChangesRequest, responses: StreamObserver<ChangesPage>) =
+        answer(responses) { state ->
+            val limit = request.limit.coerceIn(1, MAX_CHANGES)
+            digests.changesAfter(state, request.afterVersion, limit).toPage(state.directory.version)
+        }
+
+    /** An entry that is not registered is no peer yet. */
+    private fun <T> answer(responses: StreamObserver<T>, build: (ReplicaState) -> T) {
+        if (!replica.isStarted) {
+            responses.onError(Status.UNAVAILABLE.withDescription("not registered").asRuntimeException())
+            return
+        }
+        responses.onNext(build(replica.state))
+        responses.onCompleted()
+    }
+
+    private companion object {
+        const val MAX_CHANGES = 500
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaRunner.kt
@@ -0,0 +1,65 @@
+package org.medlarhook.entry.directory
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.medlarhook.core.directory.DirectoryReplica
+import org.medlarhook.core.directory.ReplicaAction
+import org.medlarhook.core.directory.ReplicaEvent
+import org.medlarhook.core.directory.ReplicaState
+import org.medlarhook.core.directory.WritePermit
+import org.medlarhook.core.directory.WriteRefusal
+import org.medlarhook.core.membership.EntryRegistration
+import org.medlarhook.platform.TimeSource
+
+/**
+ * Holds the replica's state. Events are taken one at a time under [lock], which is held for no call of anything else;
+ * readers see the newest state without it.
+ */
+internal class ReplicaRunner(
+    private val self: EntryRegistration,
+    private val replica: DirectoryReplica,
+    private val permit: WritePermit,
+    private val time: TimeSource,
+    private val perform: (ReplicaAction) -> Unit,
+) {
+    private val lock = Any()
+
+    /** True once the entry is registered. */
+    @Volatile
+    var isStarted = false
+        private set
+
+    /** The newest state. */
+    @Volatile
+    var state: ReplicaState = initialState()
+        private set
+
+    /** The clock that ages the replica's news. */
+    fun nowMs(): Long = time.monotonicMs()
+
+    /** Starts the replica of the entry, which has just registered. */
+    fun start() {
+        synchronized(lock) {
+            state = initialState()
+            isStarted = true
+        }
+    }
+
+    /** Takes in [event] and has the actions that follow from it performed. */
+    fun on(event: ReplicaEvent) {
+        val actions = synchronized(lock) { replica.on(state, event, nowMs()).also { state = it.state }.actions }
+        actions.forEach(perform)
+    }
+
+    /** Opens a write of the directory, if this entry may write now. */
+    fun openWrite(): Either<WriteRefusal, Unit> =
+        synchronized(lock) {
+            permit.open(state, nowMs()).fold(
+                { it.left() },
+                { opened -> Unit.right().also { state = opened } },
+            )
+        }
+
+    private fun initialState() = ReplicaState.initial(self, nowMs(), seed = self.entryId.hashCode().toLong())
+}
--- a/entry/src/main/kotlin/org/medlarhook/entry/operators/ConfigService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/ConfigService.kt
@@ -11,6 +11,7 @@
 import org.medlarhook.core.directory.DirectoryState
 import org.medlarhook.core.key.KeyIssuer
 import org.medlarhook.core.result.ResultCode
+import org.medlarhook.entry.directory.ChangeAppender
 import org.medlarhook.platform.TableFailure
 import org.medlarhook.runtime.operators.api.ChangeRequest
 import org.medlarhook.runtime.operators.api.KeyAnswer
@@ -21,6 +22,7 @@
 internal class ConfigService(
     private val log: DirectoryLog,
     private val current: CurrentDirectory,
+    private val appender: ChangeAppender = ChangeAppender(log::append),
     private val keys: KeyIssuer = KeyIssuer(),
 ) {
     /** Returns the newest state. */
@@ -102,7 +104,7 @@
     }
 
     private fun append(change: DirectoryChange): Either<OperatorsFailure, Long> =
-        log.append(change).mapLeft { failure ->
+        appender.append(change).mapLeft { failure ->
             when (failure) {
                 is AppendFailure.Conflict ->
                     OperatorsFailure(
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -32,5 +32,6 @@
     ATTEMPT_MEMORY_LOW(309, "The memory for attempts is nearly used up"),
     DRAIN_LIMIT_PASSED(310, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
+    ENTRY_REGISTERED(402, "Entry registered"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.sidecar.status
 
 import org.medlarhook.core.attempt.SchedulerLoad
+import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.protocol.LoadedModel
 import org.medlarhook.protocol.UpstreamRole
 import org.medlarhook.protocol.UpstreamStatus
@@ -45,6 +46,7 @@
                 .addAllModels(present.models.map { it.toMessage() })
                 .addAllServices(settings.service?.names.orEmpty())
                 .setOrderGeneration(present.orderGeneration)
+                .setSentAtMs(SystemTimeSource.monotonicMs())
         load()?.let { status.setLoad(it.toMessage()) }
         return status.build()
     }
