Set how old news may be in the entry's settings

Ruled out: limits beyond 4.5 s (they break the bound of 5 s; the settings refuse them). Conclusion: operators may choose a shorter limit, never a longer one.

--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
@@ -12,7 +12,6 @@
 import org.medlarhook.core.directory.NewsAuthorityPolicy
 import org.medlarhook.core.directory.ReplicaAction
 import org.medlarhook.core.directory.ReplicaEvent
-import org.medlarhook.core.directory.ReplicaSettings
 import org.medlarhook.core.membership.EntryRegistration
 import org.medlarhook.entry.operators.InForceView
 import org.medlarhook.platform.ObjectStore
@@ -37,8 +36,8 @@
     objects: ObjectStore,
     vms: VmDirectory,
     private val time: TimeSource,
-    private val replicaSettings: ReplicaSettings = ReplicaSettings(),
 ) {
+    private val replicaSettings = settings.directory.toReplicaSettings()
     private val self = registrationOf(settings)
     private val registrar = EntryRegistrar(tables, self)
     private val digests = DigestBuilder(replicaSettings)
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -21,6 +21,7 @@
     val peers: ListenAddress,
     val platform: PlatformSettings,
     val limits: CallerLimits = CallerLimits(),
+    val directory: DirectorySettings = DirectorySettings(),
 )
 
 /** Host and port to listen on. */
