--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -1,21 +1,17 @@
 package org.medlarhook.entry
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
-import org.medlarhook.entry.directory.PolledDirectory
+import org.medlarhook.entry.directory.DirectoryService
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
-import org.medlarhook.entry.operators.InForceView
 import org.medlarhook.entry.operators.OperatorsRoutes
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.operators.OperatorsListener
 import org.medlarhook.runtime.operators.StateDump
-import org.medlarhook.runtime.operators.api.InForceAnswer
 import org.medlarhook.runtime.platform.HttpPlatform
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
@@ -34,14 +30,14 @@
     private val tables = HttpTableService(platform)
     private val objects = HttpPlatform(platform)
     private val reader = DirectoryReader(tables, objects)
-    private val directory = PolledDirectory(reader)
+    private val directory = DirectoryService(settings, tables, objects, objects, time)
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
     private val requests: RequestPath =
         RequestPath(
             settings = settings,
             tables = tables,
             objects = objects,
-            directory = directory,
+            directory = directory.view,
             time = time,
             scheduler = scheduler,
             registry = { operators.registry },
@@ -57,7 +53,7 @@
 
     /** Opens the listeners and follows the tables until the process is stopped. */
     public fun run() {
-        every(POLL_MS) { directory.poll() }
+        directory.start()
         operators.start()
         requests.start(::every)
         Runtime.getRuntime().addShutdownHook(Thread(::stop))
@@ -67,6 +63,7 @@
     private fun stop() {
         logger.event(LogEvent.DRAIN_STARTED, "open" to requests.open.count)
         val isFinished = requests.stop()
+        directory.stop()
         scheduler.shutdownNow()
         operators.stop()
         logger.event(LogEvent.PROCESS_STOPPED, "finished" to isFinished, "open" to requests.open.count)
@@ -88,17 +85,13 @@
         }
 
     private fun operatorsRoutes(): OperatorsRoutes {
-        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader))
-        val inForce = InForceView { version, _ -> InForceAnswer(version, directory.version >= version, emptyList()) }
-        return OperatorsRoutes(config, inForce, time)
+        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader), directory.appender)
+        return OperatorsRoutes(config, directory.inForce, time)
     }
 
-    private fun dumps(): Map<String, StateDump> =
-        mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) }) +
-            requests.dumps()
+    private fun dumps(): Map<String, StateDump> = mapOf("directory" to directory.dump) + requests.dumps()
 
     private companion object {
-        const val POLL_MS = 1_000L
         const val SCHEDULER_THREADS = 4
         const val EXIT_UNFINISHED = 1
     }
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -54,7 +54,7 @@
     val open = OpenRequests()
 
     /** Whether requests are taken. */
-    val gate = Gate { directory.version > 0 }
+    val gate = Gate { directory.isReady }
 
     /** The upstreams. */
     val pool =
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryView.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryView.kt
@@ -11,6 +11,10 @@
     /** The version in force in this process. */
     val version: Long
 
+    /** True once requests can be checked against the directory. */
+    val isReady: Boolean
+        get() = version > 0
+
     /** The workspace of a presented key, or why the key is refused at [nowMs]. */
     fun authenticate(presentedKey: String, nowMs: Long): Either<Failure, Workspace>
 
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -31,5 +31,6 @@
     RECEIPT_DROPPED(308, "A receipt that no collector had taken was dropped"),
     DRAIN_LIMIT_PASSED(309, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
+    ENTRY_REGISTERED(402, "Entry registered"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -27,6 +27,7 @@
     val calls: CallSettings = CallSettings(),
     val claims: ClaimSettings = ClaimSettings(),
     val shutdown: ShutdownSettings = ShutdownSettings(),
+    val directory: DirectorySettings = DirectorySettings(),
 )
 
 /** Host and port to listen on. */
