Wire leases, orders, intents and usage into entries and sidecars

Cause: the state machines of control were run by tests alone.

Ruled out: a call from the requests' threads, as the platform may be slow; one thread for all control work, as a slow call would delay a renewal.

Change: an entry's control plane keeps leases in one thread and does the rest in another; a sidecar applies orders in a thread of its own, closes its intake while the engine changes, and restores a drain after a restart. An answer of the platform other than 200 no longer counts as an accepted order or report: before, 404 and 409 did.

Conclusion: builds and passes the linters; the entry's start does not call it yet.

--- a/core/src/main/kotlin/org/medlarhook/core/order/OrderAction.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/OrderAction.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.medlarhook.core.role.UpstreamRole
 
 /** What an order tells an engine to do. Doing it twice is the same as doing it once. */
 @Serializable
@@ -34,7 +35,7 @@
     @Serializable
     @SerialName("set-role")
     public data class SetRole(
-        val role: EngineRole,
+        val role: UpstreamRole,
     ) : OrderAction
 
     /** Ends the intake of new work; running work goes on. */
--- a/core/src/test/kotlin/org/medlarhook/core/control/OrdersWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/OrdersWorld.kt
@@ -23,6 +23,7 @@
     private val checksFencing: Boolean,
 ) {
     val log = mutableListOf<Pair<Long, OrderAction>>()
+    var checked = 0
     private var highest = 0L
 
     fun receive(order: EngineOrder): EngineOutcome {
@@ -134,10 +135,11 @@
     }
 
     override fun check() {
-        (sidecars + replaced).forEach { checkEngine(it) }
+        (sidecars + replaced).filter { it.engine.checked < it.engine.log.size }.forEach { checkEngine(it) }
     }
 
     private fun checkEngine(sidecar: SimSidecar) {
+        sidecar.engine.checked = sidecar.engine.log.size
         sidecar.engine.log.zipWithNext { earlier, later ->
             oracle(earlier.first <= later.first) { "the engine saw generation ${later.first} after ${earlier.first}" }
         }
--- a/core/src/test/kotlin/org/medlarhook/core/control/UsageWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/UsageWorld.kt
@@ -49,6 +49,7 @@
     private val settings = UsageSettings(windowMs = 20_000, freezeAfterMs = 5_000, batchesBeforeCompaction = 4)
     private val bills = HashMap<String, Bill>()
     private val reports = LinkedHashMap<Long, UsageReport>()
+    private var checkedReports = 0
     override val entries = MutableList(3) { newEntry() }
     private val sidecars = MutableList(2) { newSidecar(it, 1) }
 
@@ -98,6 +99,8 @@
     }
 
     override fun check() {
+        if (checkedReports == reports.size) return
+        checkedReports = reports.size
         reports.values.flatMap { it.lines }.groupBy { it.resource }.forEach { (resource, lines) ->
             oracle(lines.size == 1) { "$resource was billed ${lines.size} times" }
             oracle(lines[0].promptTokens == TOKENS) { "$resource was billed with ${lines[0].promptTokens} tokens" }
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/UsageLoop.kt
@@ -0,0 +1,82 @@
+package org.medlarhook.entry.control
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.core.lease.Authority
+import org.medlarhook.core.usage.ReceiptSource
+import org.medlarhook.core.usage.UsageCollector
+import org.medlarhook.core.usage.UsageReceipt
+import org.medlarhook.core.usage.UsageRefusal
+import org.medlarhook.protocol.ReceiptsPage
+import org.medlarhook.protocol.ReceiptsRequest
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.event
+import java.util.concurrent.ExecutionException
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeoutException
+
+/** Collects the receipts of the data centre's sidecars and reports its windows while this entry holds the lease. */
+internal class UsageLoop(
+    private val collector: UsageCollector,
+    private val channels: SidecarChannels,
+    private val authority: () -> Authority?,
+) {
+    private val logger = KotlinLogging.logger {}
+
+    /** Collects, freezes at most one window, and sends at most one. */
+    fun run() {
+        val present = authority() ?: return
+        pullAll(present)
+        collector.freezeDue(present).onRight { report ->
+            report?.let { logger.event(LogEvent.WINDOW_FROZEN, "report" to it.reportId, "lines" to it.lines.size) }
+        }
+        collector.sendDue(present).onRight { report ->
+            report?.let { logger.event(LogEvent.WINDOW_SENT, "report" to it.reportId) }
+        }
+    }
+
+    /** Commits copies that another entry kept, and returns the watermark of their source. */
+    fun accept(source: ReceiptSource, receipts: List<UsageReceipt>): Either<UsageRefusal, Long> {
+        val present = authority() ?: return UsageRefusal.NotInCharge.left()
+        return either {
+            collector.collect(present, receipts).bind()
+            collector.committed(present, source).bind().watermark
+        }
+    }
+
+    private fun pullAll(present: Authority) {
+        val pulls = channels.all.mapNotNull { channel -> pull(present, channel) }
+        val receipts = pulls.flatMap { it.receipts() }.map { it.toUsageReceipt() }
+        if (receipts.isNotEmpty()) collector.collect(present, receipts)
+    }
+
+    private fun pull(present: Authority, channel: SidecarChannel): Future<ReceiptsPage>? {
+        val source = ReceiptSource(channel.registration.upstreamId, channel.registration.incarnation)
+        val committed = collector.committed(present, source).getOrNull() ?: return null
+        val request =
+            ReceiptsRequest
+                .newBuilder()
+                .setIncarnation(source.incarnation)
+                .setAfterSequence(committed.watermark)
+                .setLimit(PAGE_LIMIT)
+                .build()
+        return channel.stub(PULL_TIMEOUT_MS).pullReceipts(request)
+    }
+
+    private fun Future<ReceiptsPage>.receipts() =
+        try {
+            get(PULL_TIMEOUT_MS, TimeUnit.MILLISECONDS).receiptsList
+        } catch (_: ExecutionException) {
+            emptyList()
+        } catch (_: TimeoutException) {
+            emptyList()
+        }
+
+    private companion object {
+        const val PAGE_LIMIT = 500
+        const val PULL_TIMEOUT_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/WireReceipts.kt
@@ -0,0 +1,37 @@
+package org.medlarhook.entry.control
+
+import org.medlarhook.core.usage.ReceiptSource
+import org.medlarhook.core.usage.UsageReceipt
+import org.medlarhook.protocol.Receipt
+
+/** The receipt as the core knows it. */
+internal fun Receipt.toUsageReceipt(): UsageReceipt =
+    UsageReceipt(
+        source = ReceiptSource(upstreamId, incarnation),
+        sequence = sequence,
+        workspace = workspace,
+        resource = resource,
+        requestId = requestId,
+        attemptId = attemptId,
+        promptTokens = promptTokens,
+        outputTokens = outputTokens,
+        serviceCalls = serviceCalls,
+        finishedAtMs = finishedAtMs,
+    )
+
+/** The receipt as it goes over the wire. */
+internal fun UsageReceipt.toMessage(): Receipt =
+    Receipt
+        .newBuilder()
+        .setUpstreamId(source.upstreamId)
+        .setIncarnation(source.incarnation)
+        .setSequence(sequence)
+        .setWorkspace(workspace)
+        .setResource(resource)
+        .setRequestId(requestId)
+        .setAttemptId(attemptId)
+        .setPromptTokens(promptTokens)
+        .setOutputTokens(outputTokens)
+        .setServiceCalls(serviceCalls)
+        .setFinishedAtMs(finishedAtMs)
+        .build()
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -32,5 +32,12 @@
     ATTEMPT_MEMORY_LOW(309, "The memory for attempts is nearly used up"),
     DRAIN_LIMIT_PASSED(310, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
+    LEASE_TAKEN(501, "Lease taken"),
+    LEASE_LOST(502, "Lease lost or handed back"),
+    ORDER_ISSUED(503, "Order issued to an upstream"),
+    ORDER_FAILED(504, "Order could not be applied"),
+    INTENT_FINISHED(505, "The platform has accepted a start or stop of upstreams"),
+    WINDOW_FROZEN(506, "Usage window frozen"),
+    WINDOW_SENT(507, "Usage window sent"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
@@ -1,6 +1,9 @@
 package org.medlarhook.runtime.platform
 
 import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.medlarhook.platform.ListedVm
@@ -26,14 +29,24 @@
         http.get(objectUrl(name)).map { if (it.status == PlatformHttp.HTTP_OK) it.body else null }
 
     override fun order(order: UpstreamOrder): Either<TableFailure, Unit> =
-        http.post(http.url("upstream-orders"), JSON.encodeToString(UpstreamOrder.serializer(), order)).map { }
+        http.post(http.url("upstream-orders"), JSON.encodeToString(UpstreamOrder.serializer(), order)).accepted()
 
     override fun deliver(report: UsageReport): Either<TableFailure, Unit> =
-        http.post(http.url("usage-reports"), JSON.encodeToString(UsageReport.serializer(), report)).map { }
+        http.post(http.url("usage-reports"), JSON.encodeToString(UsageReport.serializer(), report)).accepted()
 
     override fun list(): Either<TableFailure, List<ListedVm>> =
         http.get(http.url("vms")).map { JSON.decodeFromString(ListSerializer(ListedVm.serializer()), it.text()) }
 
+    /** Only the status that says so counts as accepted. */
+    private fun Either<TableFailure, PlatformAnswer>.accepted(): Either<TableFailure, Unit> =
+        flatMap {
+            if (it.status == PlatformHttp.HTTP_OK) {
+                Unit.right()
+            } else {
+                TableFailure.Unavailable("status ${it.status}").left()
+            }
+        }
+
     private fun objectUrl(name: String) = http.url("objects/$name")
 
     private companion object {
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Serving.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Serving.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.core.attempt.SharedDispatcher
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.sidecar.attempt.AttemptRunner
+import org.medlarhook.sidecar.control.OrderLoop
 import org.medlarhook.sidecar.receipt.ReceiptLog
 
 /** What a registered sidecar serves with; all of it belongs to one incarnation. */
@@ -11,4 +12,5 @@
     val dispatcher: SharedDispatcher<ServiceAnswer>,
     val runner: AttemptRunner,
     val receipts: ReceiptLog,
+    val orders: OrderLoop,
 )
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -8,6 +8,7 @@
 import org.medlarhook.core.attempt.SharedDispatcher
 import org.medlarhook.core.attempt.SpeedEstimate
 import org.medlarhook.core.fairness.FairQueue
+import org.medlarhook.core.order.OrderKey
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.runtime.log.LogEvent
@@ -18,7 +19,11 @@
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.SidecarSettings
 import org.medlarhook.sidecar.attempt.AttemptRunner
+import org.medlarhook.sidecar.control.IntakeGate
+import org.medlarhook.sidecar.control.OrderLoop
+import org.medlarhook.sidecar.control.OrderedEngine
 import org.medlarhook.sidecar.engine.HttpEngineAdapter
+import org.medlarhook.sidecar.engine.HttpEngineControl
 import org.medlarhook.sidecar.health.HealthMonitor
 import org.medlarhook.sidecar.lifecycle.GracefulStop
 import org.medlarhook.sidecar.lifecycle.Workers
@@ -44,6 +49,7 @@
     private val time = SystemTimeSource
     private val limits = settings.limits
     private val slots = settings.engine?.slots ?: settings.service?.concurrentCalls ?: 1
+    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
     private val timer = Workers.timer()
     private val workers = Workers.pool(slots)
 
@@ -76,7 +82,6 @@
         operators.start()
         Runtime.getRuntime().addShutdownHook(Thread(::stop, "shutdown"))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "sidecar", "upstream" to settings.upstreamId)
-        val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
         val registration = RegistrationLoop(SidecarRegistrar(settings, tables), { state.isDraining }).run()
         if (registration != null) serve(registration.incarnation)
         server.awaitTermination()
@@ -100,6 +105,7 @@
         metrics.watchLoad { present.dispatcher.load }
         logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
         HealthMonitor(backendUrl(), limits, timer, ::onHealthChange).start()
+        present.orders.start()
         timer.scheduleWithFixedDelay(hub::publish, 0, limits.heartbeatMs, TimeUnit.MILLISECONDS)
     }
 
@@ -109,7 +115,15 @@
         val dispatcher = SharedDispatcher(AttemptDispatcher(table, scheduler))
         val receipts = BoundedReceiptLog(settings.upstreamId, incarnation, limits.maxReceipts)
         val runner = AttemptRunner(dispatcher, workers, timer, time, metrics)
-        return Serving(incarnation, dispatcher, runner, receipts)
+        val orders = newOrders(incarnation, runner) { dispatcher.load.running }
+        return Serving(incarnation, dispatcher, runner, receipts, orders)
+    }
+
+    private fun newOrders(incarnation: Long, runner: AttemptRunner, running: () -> Int): OrderLoop {
+        val key = OrderKey(settings.dataCentre, settings.upstreamId)
+        val door = settings.engine?.let { HttpEngineControl(it.url, it.connectTimeoutMs) }
+        val gate = IntakeGate(state, runner, running, hub, time)
+        return OrderLoop(key, incarnation, tables, OrderedEngine(door, gate, state, hub), time)
     }
 
     private fun initialSpeeds(): SpeedEstimate {
@@ -124,7 +138,7 @@
     private fun onHealthChange(isHealthy: Boolean) {
         logger.event(if (isHealthy) LogEvent.UPSTREAM_ANSWERS else LogEvent.UPSTREAM_SILENT)
         state.isHealthy = isHealthy
-        serving?.runner?.setAvailable(isHealthy)
+        serving?.runner?.setAvailable(isHealthy && !state.isClosedByOrder)
         hub.publish()
     }
 
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/IntakeGate.kt
@@ -0,0 +1,43 @@
+package org.medlarhook.sidecar.control
+
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.sidecar.attempt.AttemptRunner
+import org.medlarhook.sidecar.status.StatusHub
+import org.medlarhook.sidecar.status.UpstreamState
+
+/** Closes the intake of new work, for a drain by order or while the engine changes. */
+internal class IntakeGate(
+    private val state: UpstreamState,
+    private val runner: AttemptRunner,
+    private val running: () -> Int,
+    private val hub: StatusHub,
+    private val time: TimeSource,
+) {
+    /** Takes no new work until [open]; running work goes on. */
+    fun close() {
+        state.isClosedByOrder = true
+        runner.setAvailable(false)
+        hub.publish()
+    }
+
+    /** Takes new work again. */
+    fun open() {
+        state.isClosedByOrder = false
+        runner.setAvailable(state.isHealthy)
+        hub.publish()
+    }
+
+    /** Waits until no work runs; false if some still runs after [limitMs]. */
+    fun awaitIdle(limitMs: Long): Boolean {
+        val endMs = time.monotonicMs() + limitMs
+        while (running() > 0) {
+            if (time.monotonicMs() >= endMs) return false
+            Thread.sleep(POLL_MS)
+        }
+        return true
+    }
+
+    private companion object {
+        const val POLL_MS = 20L
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/OrderLoop.kt
@@ -0,0 +1,77 @@
+package org.medlarhook.sidecar.control
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.json.Json
+import org.medlarhook.core.order.ApplierSettings
+import org.medlarhook.core.order.OrderApplier
+import org.medlarhook.core.order.OrderKey
+import org.medlarhook.core.order.OrderRow
+import org.medlarhook.core.order.OrderStatus
+import org.medlarhook.platform.TableService
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
+
+/** Applies the orders for the upstream in a thread of its own, as the engine's calls block. */
+internal class OrderLoop(
+    private val key: OrderKey,
+    incarnation: Long,
+    private val tables: TableService,
+    private val engine: OrderedEngine,
+    time: TimeSource,
+) {
+    private val logger = KotlinLogging.logger {}
+    private val applier = OrderApplier(key, incarnation, ApplierSettings(), tables, engine, time)
+    private val wakeUp = Object()
+
+    /** The generation that was completed last, as far as this process knows. */
+    val completedGeneration: Long get() = applier.state.completedGeneration
+
+    /** Starts the thread. */
+    fun start() {
+        Thread(null, ::run, "orders", STACK_BYTES).apply { isDaemon = true }.start()
+    }
+
+    /** Reads the row soon, as someone says that it has changed. */
+    fun hint() {
+        applier.hint()
+        synchronized(wakeUp) { wakeUp.notifyAll() }
+    }
+
+    private fun run() {
+        while (!restore()) pause()
+        while (true) {
+            runGuarded()
+            pause()
+        }
+    }
+
+    private fun restore(): Boolean =
+        tables.read(key.orderRow).fold(
+            { false },
+            { row ->
+                val order = row?.let { JSON.decodeFromString(OrderRow.serializer(), it.value) }
+                if (order?.status == OrderStatus.APPLIED) engine.restore(order.action, order.generation)
+                true
+            },
+        )
+
+    /** A fault of this program must not end the loop. */
+    private fun runGuarded() {
+        try {
+            applier.run()
+        } catch (e: RuntimeException) {
+            logger.warnEvent(LogEvent.ORDER_FAILED, "cause" to e.toString())
+        }
+    }
+
+    private fun pause() {
+        synchronized(wakeUp) { wakeUp.wait(TICK_MS) }
+    }
+
+    private companion object {
+        const val TICK_MS = 500L
+        const val STACK_BYTES = 262_144L
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/OrderedEngine.kt
@@ -0,0 +1,75 @@
+package org.medlarhook.sidecar.control
+
+import org.medlarhook.core.order.EngineControl
+import org.medlarhook.core.order.EngineOrder
+import org.medlarhook.core.order.EngineOutcome
+import org.medlarhook.core.order.FencingNumber
+import org.medlarhook.core.order.OrderAction
+import org.medlarhook.sidecar.engine.EngineAction
+import org.medlarhook.sidecar.engine.EngineReply
+import org.medlarhook.sidecar.status.StatusHub
+import org.medlarhook.sidecar.status.UpstreamState
+import org.medlarhook.sidecar.engine.EngineControl as EngineDoor
+
+/**
+ * Carries orders out at the engine and at the sidecar's own intake. A change that takes the engine away, or a model
+ * from it, waits until running work has ended; meanwhile no new work starts.
+ *
+ * @property engine null beside a plain service, which takes drains only.
+ */
+internal class OrderedEngine(
+    private val engine: EngineDoor?,
+    private val gate: IntakeGate,
+    private val state: UpstreamState,
+    private val hub: StatusHub,
+) : EngineControl {
+    override fun apply(order: EngineOrder): EngineOutcome {
+        val outcome = carryOut(order.action, order.fencingNumber)
+        if (outcome is EngineOutcome.Done) {
+            state.reported = state.reported.after(order.action).copy(orderGeneration = order.generation)
+            hub.publish()
+        }
+        return outcome
+    }
+
+    /** Restores what the newest order had made of the intake before the sidecar was restarted. */
+    fun restore(action: OrderAction, generation: Long) {
+        if (action is OrderAction.Drain) gate.close()
+        state.reported = state.reported.after(action).copy(orderGeneration = generation)
+        hub.publish()
+    }
+
+    private fun carryOut(action: OrderAction, number: FencingNumber): EngineOutcome =
+        when (action) {
+            is OrderAction.Drain -> EngineOutcome.Done.also { gate.close() }
+            is OrderAction.Resume -> EngineOutcome.Done.also { gate.open() }
+            is OrderAction.LoadModel -> whileIdle { EngineAction.LoadModel(action.model, action.version).send(number) }
+            is OrderAction.LoadAdapter ->
+                EngineAction.LoadAdapter(action.model, action.adapter, action.version).send(number)
+            is OrderAction.UnloadModel -> whileIdle { EngineAction.UnloadModel(action.model).send(number) }
+            is OrderAction.SetRole -> whileIdle { EngineAction.SetRole(action.role.name.lowercase()).send(number) }
+        }
+
+    private fun whileIdle(change: () -> EngineOutcome): EngineOutcome {
+        val wasClosed = state.isClosedByOrder
+        gate.close()
+        try {
+            if (!gate.awaitIdle(IDLE_LIMIT_MS)) return EngineOutcome.Unknown("work still runs")
+            return change()
+        } finally {
+            if (!wasClosed) gate.open()
+        }
+    }
+
+    private fun EngineAction.send(number: FencingNumber): EngineOutcome =
+        when (val reply = engine?.apply(this, number.value)) {
+            null -> EngineOutcome.Refused("no engine beside this sidecar")
+            is EngineReply.Done -> EngineOutcome.Done
+            is EngineReply.Refused -> EngineOutcome.Refused(reply.detail)
+            is EngineReply.Unknown -> EngineOutcome.Unknown(reply.detail)
+        }
+
+    private companion object {
+        const val IDLE_LIMIT_MS = 60_000L
+    }
+}
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
@@ -9,6 +9,8 @@
 import org.medlarhook.protocol.AttemptState
 import org.medlarhook.protocol.GenerateEvent
 import org.medlarhook.protocol.GenerateRequest
+import org.medlarhook.protocol.OrderHint
+import org.medlarhook.protocol.OrderHintAck
 import org.medlarhook.protocol.ReceiptsPage
 import org.medlarhook.protocol.ReceiptsRequest
 import org.medlarhook.protocol.SealAnswer
@@ -70,6 +72,14 @@
         hub.add(responses as ServerCallStreamObserver<UpstreamStatus>)
     }
 
+    override fun notifyOrder(hint: OrderHint, responses: StreamObserver<OrderHintAck>) {
+        val orders = serving()?.orders
+        orders?.hint()
+        val ack = OrderHintAck.newBuilder().setAppliedGeneration(orders?.completedGeneration ?: 0)
+        responses.onNext(ack.build())
+        responses.onCompleted()
+    }
+
     override fun pullReceipts(request: ReceiptsRequest, responses: StreamObserver<ReceiptsPage>) {
         val present = serving()?.takeIf { it.incarnation == request.incarnation }
         val limit = request.limit.coerceIn(1, MAX_RECEIPTS)
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
@@ -24,12 +24,16 @@
     @Volatile
     var isHealthy = false
 
+    /** True while an order keeps new work out. */
+    @Volatile
+    var isClosedByOrder = false
+
     /** What orders have made of the upstream. */
     @Volatile
     var reported = initialState()
 
     /** True while attempts are taken. */
-    val isAccepting: Boolean get() = incarnation != null && !isDraining && isHealthy
+    val isAccepting: Boolean get() = incarnation != null && !isDraining && isHealthy && !isClosedByOrder
 
     /** The message to entries. */
     fun toMessage(): UpstreamStatus {
@@ -41,7 +45,7 @@
                 .setIncarnation(incarnation ?: 0)
                 .setRole(present.role)
                 .setAccepting(isAccepting)
-                .setDraining(isDraining)
+                .setDraining(isDraining || isClosedByOrder)
                 .addAllModels(present.models.map { it.toMessage() })
                 .addAllServices(settings.service?.names.orEmpty())
                 .setOrderGeneration(present.orderGeneration)
