Start control with each entry, and prove its wiring

Cause: entries did not run the control plane, and a sidecar's first order was closed 10 s late.

Ruled out: the wait from a sidecar's start for orders of its own incarnation. They are written only after the predecessor's order was closed, so nothing older can be under way; the chains agree.

Change: the entry starts and stops its control plane and shows it in its dump. The wait from the start is left for the predecessor's open order alone. Due windows are frozen and sent several at a time, as one each 2 s never caught up with short windows.

Conclusion: control runs in the entry and the sidecar; role and spending decisions have an interface to call, and nothing calls it yet.

--- a/core/src/main/kotlin/org/medlarhook/core/order/ApplierMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/ApplierMachine.kt
@@ -13,7 +13,8 @@
  * It obeys the row alone, one generation at a time, and writes the completion only when no earlier copy of a call can
  * reach the engine any more. As the next generation is written after that, an engine that ignores fencing numbers
  * never sees a copy of an old order behind a new one, if a call dies within [ApplierSettings.engineSettleMs].
- * An open order for an earlier incarnation is closed as failed after the same wait, counted from this sidecar's start.
+ * An open order for an earlier incarnation is closed as failed after the same wait, counted from this sidecar's start;
+ * an order for this incarnation was written after the one before it was closed, so it needs no such wait.
  */
 public class ApplierMachine(
     private val key: OrderKey,
@@ -51,7 +52,7 @@
             order.generation <= state.completedGeneration -> ApplierStep(waiting(state, nowMs))
             order.incarnation > incarnation -> ApplierStep(waiting(state, nowMs))
             order.incarnation < incarnation -> ApplierStep(abandoned(state, order, row.version))
-            else -> call(ApplierState.Applying(order, row.version, state.completedGeneration, state.quietFromMs, nowMs))
+            else -> call(ApplierState.Applying(order, row.version, state.completedGeneration, nowMs, nowMs))
         }
     }
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -5,6 +5,8 @@
 import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
+import org.medlarhook.entry.control.ControlPlane
+import org.medlarhook.entry.control.ControlPlatform
 import org.medlarhook.entry.directory.PolledDirectory
 import org.medlarhook.entry.http.CallersListener
 import org.medlarhook.entry.http.ChatHandler
@@ -36,7 +38,15 @@
 ) {
     private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
     private val tables = HttpTableService(platform)
-    private val reader = DirectoryReader(tables, HttpPlatform(platform))
+    private val services = HttpPlatform(platform)
+    private val reader = DirectoryReader(tables, services)
+    private val control =
+        ControlPlane(
+            entryId = settings.entryId,
+            dataCentre = settings.dataCentre,
+            platform = ControlPlatform(tables, ordering = services, reporting = services),
+            time = SystemTimeSource,
+        )
     private val directory = PolledDirectory(reader)
     private val pool = UpstreamPool(tables)
     private val scheduler = Executors.newScheduledThreadPool(2)
@@ -46,8 +56,8 @@
         scheduler.scheduleWithFixedDelay({ directory.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
         scheduler.scheduleWithFixedDelay({ pool.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
         val chat = ChatHandler(directory, pool, LeastOutstandingChooser)
-        val services = ServiceHandler(pool, LeastOutstandingChooser)
-        val callers = CallersListener(settings, SystemTimeSource, directory, chat, services)
+        val serviceCalls = ServiceHandler(pool, LeastOutstandingChooser)
+        val callers = CallersListener(settings, SystemTimeSource, directory, chat, serviceCalls)
         val operators =
             OperatorsListener(
                 address = settings.operators,
@@ -58,6 +68,8 @@
             )
         operators.start()
         callers.start()
+        control.start()
+        Runtime.getRuntime().addShutdownHook(Thread(control::stop))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
 
@@ -68,7 +80,10 @@
     }
 
     private fun dumps(): Map<String, StateDump> =
-        mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) })
+        mapOf(
+            "directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) },
+            "control" to control.dump(),
+        )
 
     private companion object {
         const val POLL_MS = 1_000L
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
@@ -71,6 +71,9 @@
     /** True while this entry may order the data centre's upstreams. */
     val isInCharge: Boolean get() = leases.authority(upstreams) != null
 
+    /** Says whether orders to [upstreamId] are hinted to its sidecar; without a hint it learns of them by polling. */
+    fun knowsSidecar(upstreamId: String): Boolean = channels.find(upstreamId) != null
+
     /** Starts the loops. */
     fun start() {
         workThread.every(MEMBERS_EVERY_MS) { members.refresh() }
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/SidecarChannels.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/SidecarChannels.kt
@@ -22,11 +22,12 @@
         SidecarServiceGrpc.newFutureStub(channel).withDeadlineAfter(timeoutMs, TimeUnit.MILLISECONDS)
 }
 
-/** The channels of a lease holder to the sidecars of its data centre. Used by one thread at a time. */
+/** The channels of a lease holder to the sidecars of its data centre. Refreshed by one thread, read by any. */
 internal class SidecarChannels(
     private val dataCentre: String,
     private val tables: TableService,
 ) {
+    @Volatile
     private var open = emptyMap<String, SidecarChannel>()
 
     /** All channels as of the last [refresh]. */
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/UsageLoop.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/UsageLoop.kt
@@ -26,16 +26,24 @@
 ) {
     private val logger = KotlinLogging.logger {}
 
-    /** Collects, freezes at most one window, and sends at most one. */
+    /** Collects, and freezes and sends the windows that are due, a bounded number at a time. */
     fun run() {
         val present = authority() ?: return
         pullAll(present)
-        collector.freezeDue(present).onRight { report ->
-            report?.let { logger.event(LogEvent.WINDOW_FROZEN, "report" to it.reportId, "lines" to it.lines.size) }
-        }
-        collector.sendDue(present).onRight { report ->
-            report?.let { logger.event(LogEvent.WINDOW_SENT, "report" to it.reportId) }
-        }
+        (1..MAX_WINDOWS).takeWhile { freeze(present) }
+        (1..MAX_WINDOWS).takeWhile { send(present) }
+    }
+
+    private fun freeze(present: Authority): Boolean {
+        val report = collector.freezeDue(present).getOrNull() ?: return false
+        logger.event(LogEvent.WINDOW_FROZEN, "report" to report.reportId, "lines" to report.lines.size)
+        return true
+    }
+
+    private fun send(present: Authority): Boolean {
+        val report = collector.sendDue(present).getOrNull() ?: return false
+        logger.event(LogEvent.WINDOW_SENT, "report" to report.reportId)
+        return true
     }
 
     /** Commits copies that another entry kept, and returns the watermark of their source. */
@@ -76,6 +84,7 @@
         }
 
     private companion object {
+        const val MAX_WINDOWS = 16
         const val PAGE_LIMIT = 500
         const val PULL_TIMEOUT_MS = 1_000L
     }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -122,7 +122,7 @@
     private fun newOrders(incarnation: Long, runner: AttemptRunner, running: () -> Int): OrderLoop {
         val key = OrderKey(settings.dataCentre, settings.upstreamId)
         val door = settings.engine?.let { HttpEngineControl(it.url, it.connectTimeoutMs) }
-        val gate = IntakeGate(state, runner, running, hub, time)
+        val gate = IntakeGate(state, runner::setAvailable, running, hub, time)
         return OrderLoop(key, incarnation, tables, OrderedEngine(door, gate, state, hub), time)
     }
 
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/IntakeGate.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/IntakeGate.kt
@@ -1,14 +1,13 @@
 package org.medlarhook.sidecar.control
 
 import org.medlarhook.platform.TimeSource
-import org.medlarhook.sidecar.attempt.AttemptRunner
 import org.medlarhook.sidecar.status.StatusHub
 import org.medlarhook.sidecar.status.UpstreamState
 
 /** Closes the intake of new work, for a drain by order or while the engine changes. */
 internal class IntakeGate(
     private val state: UpstreamState,
-    private val runner: AttemptRunner,
+    private val setAvailable: (Boolean) -> Unit,
     private val running: () -> Int,
     private val hub: StatusHub,
     private val time: TimeSource,
@@ -16,14 +15,14 @@
     /** Takes no new work until [open]; running work goes on. */
     fun close() {
         state.isClosedByOrder = true
-        runner.setAvailable(false)
+        setAvailable(false)
         hub.publish()
     }
 
     /** Takes new work again. */
     fun open() {
         state.isClosedByOrder = false
-        runner.setAvailable(state.isHealthy)
+        setAvailable(state.isHealthy)
         hub.publish()
     }
 
