--- a/entry/src/main/kotlin/org/medlarhook/entry/control/UsageLoop.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/UsageLoop.kt
@@ -25,6 +25,7 @@
     private val authority: () -> Authority?,
 ) {
     private val logger = KotlinLogging.logger {}
+    private var rounds = 0L
 
     /** Collects, and freezes and sends the windows that are due, a bounded number at a time. */
     fun run() {
@@ -56,13 +57,20 @@
     }
 
     private fun pullAll(present: Authority) {
-        val pulls = channels.all.mapNotNull { channel -> pull(present, channel) }
+        rounds++
+        val pulls = channels.all.flatMap { channel -> sources(channel).mapNotNull { pull(present, channel, it) } }
         val receipts = pulls.flatMap { it.receipts() }.map { it.toUsageReceipt() }
         if (receipts.isNotEmpty()) collector.collect(present, receipts)
     }
 
-    private fun pull(present: Authority, channel: SidecarChannel): Future<ReceiptsPage>? {
-        val source = ReceiptSource(channel.registration.upstreamId, channel.registration.incarnation)
+    /** The present incarnation and, in turn, one of the earlier ones whose receipts the same process may still hold. */
+    private fun sources(channel: SidecarChannel): List<ReceiptSource> {
+        val present = channel.registration.incarnation
+        val earlier = present - 1 - rounds % EARLIER_INCARNATIONS
+        return listOf(present, earlier).filter { it > 0 }.map { ReceiptSource(channel.registration.upstreamId, it) }
+    }
+
+    private fun pull(present: Authority, channel: SidecarChannel, source: ReceiptSource): Future<ReceiptsPage>? {
         val committed = collector.committed(present, source).getOrNull() ?: return null
         val request =
             ReceiptsRequest
@@ -85,6 +93,7 @@
 
     private companion object {
         const val MAX_WINDOWS = 16
+        const val EARLIER_INCARNATIONS = 2
         const val PAGE_LIMIT = 500
         const val PULL_TIMEOUT_MS = 1_000L
     }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -24,12 +24,15 @@
 import org.medlarhook.sidecar.control.OrderedEngine
 import org.medlarhook.sidecar.engine.HttpEngineAdapter
 import org.medlarhook.sidecar.engine.HttpEngineControl
+import org.medlarhook.sidecar.engine.SilenceWatch
 import org.medlarhook.sidecar.health.HealthMonitor
 import org.medlarhook.sidecar.lifecycle.GracefulStop
 import org.medlarhook.sidecar.lifecycle.Workers
 import org.medlarhook.sidecar.operators.SidecarDump
 import org.medlarhook.sidecar.operators.SidecarMetrics
 import org.medlarhook.sidecar.receipt.BoundedReceiptLog
+import org.medlarhook.sidecar.registration.IncarnationListener
+import org.medlarhook.sidecar.registration.IncarnationRenewal
 import org.medlarhook.sidecar.registration.RegistrationLoop
 import org.medlarhook.sidecar.registration.SidecarRegistrar
 import org.medlarhook.sidecar.rpc.RpcServer
@@ -49,8 +52,9 @@
     private val time = SystemTimeSource
     private val limits = settings.limits
     private val slots = settings.engine?.slots ?: settings.service?.concurrentCalls ?: 1
-    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
     private val timer = Workers.timer()
+    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
+    private val incarnationListeners: List<IncarnationListener> = emptyList()
     private val workers = Workers.pool(slots)
 
     @Volatile
@@ -65,11 +69,13 @@
             mapOf("sidecar" to SidecarDump(state) { serving }),
         )
     private val metrics = SidecarMetrics(operators.registry)
+    private val orders = newOrderLoop()
     private val rpc =
         SidecarRpc(
             serving = { serving },
+            orders = orders,
             hub = hub,
-            engine = settings.engine?.let { HttpEngineAdapter(it, time) },
+            engine = settings.engine?.let { HttpEngineAdapter(it, SilenceWatch(timer), time) },
             service = settings.service?.let { ServiceAdapter(it, time) },
             metrics = metrics,
             time = time,
@@ -82,8 +88,7 @@
         operators.start()
         Runtime.getRuntime().addShutdownHook(Thread(::stop, "shutdown"))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "sidecar", "upstream" to settings.upstreamId)
-        val registration = RegistrationLoop(SidecarRegistrar(settings, tables), { state.isDraining }).run()
-        if (registration != null) serve(registration.incarnation)
+        register()?.let { serve(it) }
         server.awaitTermination()
     }
 
@@ -97,6 +102,14 @@
             false
         }
 
+    /** Registers under the next incarnation and lets the listeners prepare; null if the process stops before. */
+    private fun register(): Long? {
+        val loop = RegistrationLoop(SidecarRegistrar(settings, tables), { state.isDraining })
+        val incarnation = loop.run()?.incarnation ?: return null
+        incarnationListeners.forEach { it.onIncarnation(incarnation) }
+        return incarnation
+    }
+
     private fun serve(incarnation: Long) {
         val present = newServing(incarnation)
         present.runner.setAvailable(false)
@@ -105,25 +118,44 @@
         metrics.watchLoad { present.dispatcher.load }
         logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
         HealthMonitor(backendUrl(), limits, timer, ::onHealthChange).start()
-        present.orders.start()
         timer.scheduleWithFixedDelay(hub::publish, 0, limits.heartbeatMs, TimeUnit.MILLISECONDS)
+        orders.start()
+        IncarnationRenewal({ present.dispatcher.usedShare }, ::register, ::renew).start(timer)
+    }
+
+    /** Attempts that run under the last incarnation go on; new ones need the new incarnation. */
+    private fun renew(incarnation: Long) {
+        val present = serving ?: return
+        present.dispatcher.renew(incarnation)
+        serving = present.renewed(incarnation, newReceiptLog(incarnation))
+        state.incarnation = incarnation
+        logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
+        hub.publish()
     }
 
+    private fun newReceiptLog(incarnation: Long) =
+        BoundedReceiptLog(settings.upstreamId, incarnation, limits.maxReceipts)
+
     private fun newServing(incarnation: Long): Serving {
         val scheduler = AttemptScheduler(slots, FairQueue(limits.maxQueued), initialSpeeds())
-        val table = AttemptTable<ServiceAnswer>(incarnation, AttemptLimits())
+        val table = AttemptTable<ServiceAnswer>(incarnation, AttemptLimits(maxForgotten = limits.maxForgottenAttempts))
         val dispatcher = SharedDispatcher(AttemptDispatcher(table, scheduler))
-        val receipts = BoundedReceiptLog(settings.upstreamId, incarnation, limits.maxReceipts)
         val runner = AttemptRunner(dispatcher, workers, timer, time, metrics)
-        val orders = newOrders(incarnation, runner) { dispatcher.load.running }
-        return Serving(incarnation, dispatcher, runner, receipts, orders)
+        return Serving(incarnation, dispatcher, runner, newReceiptLog(incarnation))
     }
 
-    private fun newOrders(incarnation: Long, runner: AttemptRunner, running: () -> Int): OrderLoop {
+    private fun newOrderLoop(): OrderLoop {
         val key = OrderKey(settings.dataCentre, settings.upstreamId)
         val door = settings.engine?.let { HttpEngineControl(it.url, it.connectTimeoutMs) }
-        val gate = IntakeGate(state, runner::setAvailable, running, hub, time)
-        return OrderLoop(key, incarnation, tables, OrderedEngine(door, gate, state, hub), time)
+        val gate =
+            IntakeGate(
+                state = state,
+                setAvailable = { serving?.runner?.setAvailable(it) },
+                running = { serving?.dispatcher?.load?.running ?: 0 },
+                hub = hub,
+                time = time,
+            )
+        return OrderLoop(key, { state.incarnation }, tables, OrderedEngine(door, gate, state, hub), time)
     }
 
     private fun initialSpeeds(): SpeedEstimate {
