--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -3,6 +3,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
+import org.medlarhook.entry.control.ControlPlane
+import org.medlarhook.entry.control.ControlPlatform
 import org.medlarhook.entry.directory.DirectoryService
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
@@ -31,6 +33,13 @@
     private val objects = HttpPlatform(platform)
     private val reader = DirectoryReader(tables, objects)
     private val directory = DirectoryService(settings, tables, objects, objects, time)
+    private val control =
+        ControlPlane(
+            entryId = settings.entryId,
+            dataCentre = settings.dataCentre,
+            platform = ControlPlatform(tables, ordering = objects, reporting = objects),
+            time = time,
+        )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
     private val requests: RequestPath =
         RequestPath(
@@ -56,6 +65,7 @@
         directory.start()
         operators.start()
         requests.start(::every)
+        control.start()
         Runtime.getRuntime().addShutdownHook(Thread(::stop))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
@@ -63,6 +73,7 @@
     private fun stop() {
         logger.event(LogEvent.DRAIN_STARTED, "open" to requests.open.count)
         val isFinished = requests.stop()
+        control.stop()
         directory.stop()
         scheduler.shutdownNow()
         operators.stop()
@@ -89,7 +100,8 @@
         return OperatorsRoutes(config, directory.inForce, time)
     }
 
-    private fun dumps(): Map<String, StateDump> = mapOf("directory" to directory.dump) + requests.dumps()
+    private fun dumps(): Map<String, StateDump> =
+        mapOf("directory" to directory.dump, "control" to control.dump()) + requests.dumps()
 
     private companion object {
         const val SCHEDULER_THREADS = 4
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -8,6 +8,7 @@
 import org.medlarhook.core.attempt.SharedDispatcher
 import org.medlarhook.core.attempt.SpeedEstimate
 import org.medlarhook.core.fairness.FairQueue
+import org.medlarhook.core.order.OrderKey
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.runtime.log.LogEvent
@@ -18,7 +19,11 @@
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.SidecarSettings
 import org.medlarhook.sidecar.attempt.AttemptRunner
+import org.medlarhook.sidecar.control.IntakeGate
+import org.medlarhook.sidecar.control.OrderLoop
+import org.medlarhook.sidecar.control.OrderedEngine
 import org.medlarhook.sidecar.engine.HttpEngineAdapter
+import org.medlarhook.sidecar.engine.HttpEngineControl
 import org.medlarhook.sidecar.engine.SilenceWatch
 import org.medlarhook.sidecar.health.HealthMonitor
 import org.medlarhook.sidecar.lifecycle.GracefulStop
@@ -64,9 +69,11 @@
             mapOf("sidecar" to SidecarDump(state) { serving }),
         )
     private val metrics = SidecarMetrics(operators.registry)
+    private val orders = newOrderLoop()
     private val rpc =
         SidecarRpc(
             serving = { serving },
+            orders = orders,
             hub = hub,
             engine = settings.engine?.let { HttpEngineAdapter(it, SilenceWatch(timer), time) },
             service = settings.service?.let { ServiceAdapter(it, time) },
@@ -112,6 +119,7 @@
         logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
         HealthMonitor(backendUrl(), limits, timer, ::onHealthChange).start()
         timer.scheduleWithFixedDelay(hub::publish, 0, limits.heartbeatMs, TimeUnit.MILLISECONDS)
+        orders.start()
         IncarnationRenewal({ present.dispatcher.usedShare }, ::register, ::renew).start(timer)
     }
 
@@ -136,6 +144,20 @@
         return Serving(incarnation, dispatcher, runner, newReceiptLog(incarnation))
     }
 
+    private fun newOrderLoop(): OrderLoop {
+        val key = OrderKey(settings.dataCentre, settings.upstreamId)
+        val door = settings.engine?.let { HttpEngineControl(it.url, it.connectTimeoutMs) }
+        val gate =
+            IntakeGate(
+                state = state,
+                setAvailable = { serving?.runner?.setAvailable(it) },
+                running = { serving?.dispatcher?.load?.running ?: 0 },
+                hub = hub,
+                time = time,
+            )
+        return OrderLoop(key, { state.incarnation }, tables, OrderedEngine(door, gate, state, hub), time)
+    }
+
     private fun initialSpeeds(): SpeedEstimate {
         val engine = settings.engine
         if (engine != null) return SpeedEstimate(engine.prefillTokensPerS, engine.decodeTokensPerS)
@@ -148,7 +170,7 @@
     private fun onHealthChange(isHealthy: Boolean) {
         logger.event(if (isHealthy) LogEvent.UPSTREAM_ANSWERS else LogEvent.UPSTREAM_SILENT)
         state.isHealthy = isHealthy
-        serving?.runner?.setAvailable(isHealthy)
+        serving?.runner?.setAvailable(isHealthy && !state.isClosedByOrder)
         hub.publish()
     }
 
