Count control traffic in entries and sidecars, and serve offered receipts

Cause: an entry's copies of receipts had no listener at the collector, leases named entries by a name that the entry table does not hold, and control traffic was counted nowhere. Ruled out: a second listener for receipts (one port between entries is enough). Change: the peers' listener takes OfferReceipts; the control plane uses the registered name; metrics count control calls of all channels; the test fleet registers its VMs with the platform.

--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -1,6 +1,8 @@
 package org.medlarhook.entry
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
 import org.medlarhook.entry.control.ControlPlane
@@ -18,6 +20,7 @@
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
@@ -28,17 +31,21 @@
     private val settings: EntrySettings,
 ) {
     private val time = SystemTimeSource
-    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val traffic = ControlTraffic(registry)
+    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs, traffic.httpListener)
     private val tables = HttpTableService(platform)
     private val objects = HttpPlatform(platform)
     private val reader = DirectoryReader(tables, objects)
-    private val directory = DirectoryService(settings, tables, objects, objects, time)
-    private val control =
+    private val directory =
+        DirectoryService(settings, tables, objects, objects, time, traffic) { control.accept(it).getOrNull() }
+    private val control: ControlPlane =
         ControlPlane(
-            entryId = settings.entryId,
+            entryId = directory.entryId,
             dataCentre = settings.dataCentre,
             platform = ControlPlatform(tables, ordering = objects, reporting = objects),
             time = time,
+            traffic = traffic,
         )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
     private val requests: RequestPath =
@@ -49,7 +56,8 @@
             directory = directory.view,
             time = time,
             scheduler = scheduler,
-            registry = { operators.registry },
+            registry = { registry },
+            traffic = traffic,
         )
     private val operators: OperatorsListener =
         OperatorsListener(
@@ -57,6 +65,7 @@
             time = time,
             isReady = { requests.gate.isReady },
             dumps = dumps(),
+            registry = registry,
             routes = operatorsRoutes()::register,
         )
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -30,6 +30,7 @@
 import org.medlarhook.platform.TimeSource
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 
@@ -42,6 +43,7 @@
     private val time: TimeSource,
     private val scheduler: ScheduledExecutorService,
     private val registry: () -> MeterRegistry,
+    traffic: ControlTraffic = ControlTraffic(registry()),
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
     private val retryBudget: CallRetryBudget = CallRetryBudget { true },
 ) {
@@ -61,7 +63,7 @@
         UpstreamPool(
             entryId = settings.entryId,
             tables = tables,
-            channels = PlainChannelFactory(workers),
+            channels = PlainChannelFactory(workers, traffic.clientInterceptor),
             time = time,
             heartbeatTimeoutMs = settings.calls.heartbeatTimeoutMs,
         )
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.intent.IntentProposal
@@ -27,6 +28,7 @@
 import org.medlarhook.protocol.ReceiptsAck
 import org.medlarhook.protocol.ReceiptsPage
 import org.medlarhook.runtime.operators.StateDump
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.UUID
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -49,6 +51,7 @@
     private val time: TimeSource,
     usageSettings: UsageSettings = UsageSettings(),
     leaseSettings: LeaseSettings = LeaseSettings(),
+    traffic: ControlTraffic = ControlTraffic(SimpleMeterRegistry()),
 ) {
     private val logger = KotlinLogging.logger {}
     private val upstreams = LeaseScope.upstreams(dataCentre)
@@ -58,7 +61,7 @@
     private val members = EntryMembers(entryId, dataCentre, tables)
     private val group = LeaseGroup(listOf(upstreams, usage), holder, leaseSettings, tables, time, maxHeld = 2)
     private val leases = LeaseLoop(group, members, time)
-    private val channels = SidecarChannels(dataCentre, tables)
+    private val channels = SidecarChannels(dataCentre, tables, traffic.clientInterceptor)
     private val orders = OrderService(OrderIssuer(dataCentre, tables, time), channels) { leases.authority(upstreams) }
     private val intents =
         IntentService(IntentRunner(dataCentre, tables, platform.ordering, time)) { leases.authority(upstreams) }
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/SidecarChannels.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/SidecarChannels.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.entry.control
 
 import arrow.core.Either
+import io.grpc.ClientInterceptor
 import io.grpc.ManagedChannel
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
 import kotlinx.serialization.json.Json
@@ -26,6 +27,7 @@
 internal class SidecarChannels(
     private val dataCentre: String,
     private val tables: TableService,
+    private val interceptor: ClientInterceptor,
 ) {
     @Volatile
     private var open = emptyMap<String, SidecarChannel>()
@@ -69,7 +71,9 @@
     }
 
     private fun connect(registration: UpstreamRegistration): SidecarChannel {
-        val builder = NettyChannelBuilder.forTarget(registration.address).usePlaintext().disableRetry()
+        val builder = NettyChannelBuilder.forTarget(
+            registration.address,
+        ).usePlaintext().disableRetry().intercept(interceptor)
         return SidecarChannel(registration, builder.build())
     }
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
@@ -23,6 +23,7 @@
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.net.InetSocketAddress
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -36,12 +37,14 @@
     objects: ObjectStore,
     vms: VmDirectory,
     private val time: TimeSource,
+    traffic: ControlTraffic,
+    receipts: ReceiptOffers,
 ) {
     private val replicaSettings = settings.directory.toReplicaSettings()
     private val self = registrationOf(settings)
     private val registrar = EntryRegistrar(tables, self)
     private val digests = DigestBuilder(replicaSettings)
-    private val peers = PeerClient(replicaSettings.exchangeTimeoutMs)
+    private val peers = PeerClient(replicaSettings.exchangeTimeoutMs, traffic.clientInterceptor)
     private val actions = ReplicaActions(DirectoryReader(tables, objects), registrar, vms, peers, digests)
     private val policy = NewsAuthorityPolicy(replicaSettings)
     private val replica: ReplicaRunner =
@@ -56,9 +59,13 @@
         NettyServerBuilder
             .forAddress(InetSocketAddress(settings.peers.host, settings.peers.port))
             .permitKeepAliveTime(1, TimeUnit.SECONDS)
-            .addService(PeerRpc(replica, digests))
+            .addStreamTracerFactory(traffic.serverTracer)
+            .addService(PeerRpc(replica, digests, receipts))
             .build()
 
+    /** The name under which this entry is registered, new with each start. */
+    val entryId: String = self.entryId
+
     /** What callers' requests are checked against. */
     val view: DirectoryView = ReplicatedDirectory(policy) { replica.state }
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/PeerClient.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/PeerClient.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.entry.directory
 
 import arrow.core.Either
+import io.grpc.ClientInterceptor
 import io.grpc.ManagedChannel
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
 import org.medlarhook.core.directory.DirectoryChange
@@ -14,6 +15,7 @@
 /** Calls other entries. A channel is kept for each address until [retain] drops it. */
 internal class PeerClient(
     private val timeoutMs: Long,
+    private val interceptor: ClientInterceptor,
 ) {
     private val channels = ConcurrentHashMap<String, ManagedChannel>()
 
@@ -44,6 +46,7 @@
             .forTarget(address)
             .usePlaintext()
             .disableRetry()
+            .intercept(interceptor)
             .keepAliveTime(KEEP_ALIVE_MS, TimeUnit.MILLISECONDS)
             .keepAliveTimeout(timeoutMs, TimeUnit.MILLISECONDS)
             .build()
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/PeerRpc.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/PeerRpc.kt
@@ -9,11 +9,14 @@
 import org.medlarhook.protocol.ChangesRequest
 import org.medlarhook.protocol.DirectoryDigest
 import org.medlarhook.protocol.EntryServiceGrpc
+import org.medlarhook.protocol.ReceiptsAck
+import org.medlarhook.protocol.ReceiptsPage
 
 /** Answers the calls of other entries. */
 internal class PeerRpc(
     private val replica: ReplicaRunner,
     private val digests: DigestBuilder,
+    private val receipts: ReceiptOffers,
 ) : EntryServiceGrpc.EntryServiceImplBase() {
     override fun exchangeDigest(request: DirectoryDigest, responses: StreamObserver<DirectoryDigest>) =
         answer(responses) {
@@ -27,6 +30,16 @@
             digests.changesAfter(state, request.afterVersion, limit).toPage(state.directory.version)
         }
 
+    override fun offerReceipts(request: ReceiptsPage, responses: StreamObserver<ReceiptsAck>) {
+        val ack = receipts.accept(request)
+        if (ack == null) {
+            responses.onError(Status.FAILED_PRECONDITION.withDescription("not in charge").asRuntimeException())
+            return
+        }
+        responses.onNext(ack)
+        responses.onCompleted()
+    }
+
     /** An entry that is not registered is no peer yet. */
     private fun <T> answer(responses: StreamObserver<T>, build: (ReplicaState) -> T) {
         if (!replica.isStarted) {
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.entry.upstream
 
+import io.grpc.ClientInterceptor
 import io.grpc.ManagedChannel
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
 import java.util.concurrent.Executor
@@ -11,12 +12,14 @@
  */
 internal class PlainChannelFactory(
     private val workers: Executor,
+    private val interceptor: ClientInterceptor,
 ) : ChannelFactory {
     override fun open(address: String): ManagedChannel =
         NettyChannelBuilder
             .forTarget(address)
             .usePlaintext()
             .disableRetry()
+            .intercept(interceptor)
             .executor(workers)
             .keepAliveTime(KEEP_ALIVE_S, TimeUnit.SECONDS)
             .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_S, TimeUnit.SECONDS)
--- a/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
+import org.medlarhook.platform.ListedVm
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.runtime.settings.EntrySettings
 import org.medlarhook.runtime.settings.ListenAddress
@@ -24,6 +25,9 @@
     /** The platform's base address. */
     public val platformUrl: String = url(platformPort)
 
+    /** The platform's VM list. */
+    public val vms: VmList = VmList(platformUrl)
+
     /** The platform's stand-in. */
     public lateinit var platform: ManagedProcess
         private set
@@ -48,6 +52,7 @@
                 peers = listen(),
                 platform = PlatformSettings(platformUrl),
             )
+        vms.put(ListedVm(settings.vmId, dataCentre, leaving = false))
         val node = EntryNode(settings, launchRole("entry", id, settings, EntrySettings.serializer()))
         entries += node
         return node
@@ -147,6 +152,7 @@
                 platform = PlatformSettings(platformUrl),
             )
         val settings = configure(base)
+        vms.put(ListedVm(settings.vmId, dataCentre, leaving = false))
         val sidecar = launchRole("sidecar", id, settings, SidecarSettings.serializer())
         return UpstreamNode(settings, sidecar, backend, backendUrl).also { upstreams += it }
     }
--- /dev/null
+++ b/harness/src/main/kotlin/org/medlarhook/harness/VmList.kt
@@ -0,0 +1,29 @@
+package org.medlarhook.harness
+
+import kotlinx.serialization.json.Json
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.medlarhook.platform.ListedVm
+
+/** Changes the VM list of the platform stand-in at [platformUrl]. */
+public class VmList(
+    private val platformUrl: String,
+) {
+    private val client = OkHttpClient()
+
+    /** Adds a VM, or changes it, as when it is leaving. */
+    public fun put(vm: ListedVm) {
+        val body = Json.encodeToString(ListedVm.serializer(), vm).toRequestBody()
+        send(Request.Builder().url("$platformUrl/vms").put(body).build())
+    }
+
+    /** Takes a VM off the list. */
+    public fun remove(vmId: String) {
+        send(Request.Builder().url("$platformUrl/vms/$vmId").delete().build())
+    }
+
+    private fun send(request: Request) {
+        client.newCall(request).execute().use { check(it.isSuccessful) { "the VM list was not changed: ${it.code}" } }
+    }
+}
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
@@ -17,11 +17,10 @@
     private val time: TimeSource,
     private val isReady: () -> Boolean,
     private val dumps: Map<String, StateDump>,
+    /** The registry of all metrics of the process. */
+    public val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
     private val routes: (RoutesConfig) -> Unit = {},
 ) {
-    /** The registry of all metrics of the process. */
-    public val registry: PrometheusMeterRegistry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
-
     private val server =
         Javalin.create { config ->
             config.startup.showJavalinBanner = false
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import okhttp3.EventListener
 import okhttp3.HttpUrl
 import okhttp3.HttpUrl.Companion.toHttpUrl
 import okhttp3.MediaType.Companion.toMediaType
@@ -23,6 +24,7 @@
 public class PlatformHttp(
     baseUrl: String,
     callTimeoutMs: Long,
+    listener: EventListener = EventListener.NONE,
 ) {
     private val base = baseUrl.toHttpUrl()
     private val client =
@@ -30,6 +32,7 @@
             .Builder()
             .retryOnConnectionFailure(false)
             .followRedirects(false)
+            .eventListener(listener)
             .callTimeout(Duration.ofMillis(callTimeoutMs))
             .build()
 
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -1,6 +1,8 @@
 package org.medlarhook.sidecar
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.medlarhook.core.attempt.AttemptDispatcher
 import org.medlarhook.core.attempt.AttemptLimits
 import org.medlarhook.core.attempt.AttemptScheduler
@@ -18,6 +20,7 @@
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.SidecarSettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import org.medlarhook.sidecar.attempt.AttemptRunner
 import org.medlarhook.sidecar.control.IntakeGate
 import org.medlarhook.sidecar.control.OrderLoop
@@ -53,7 +56,10 @@
     private val limits = settings.limits
     private val slots = settings.engine?.slots ?: settings.service?.concurrentCalls ?: 1
     private val timer = Workers.timer()
-    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val traffic = ControlTraffic(registry)
+    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs, traffic.httpListener)
+    private val tables = HttpTableService(platform)
     private val incarnationListeners: List<IncarnationListener> = emptyList()
     private val workers = Workers.pool(slots)
 
@@ -67,8 +73,9 @@
             time,
             { state.isAccepting },
             mapOf("sidecar" to SidecarDump(state) { serving }),
+            registry,
         )
-    private val metrics = SidecarMetrics(operators.registry)
+    private val metrics = SidecarMetrics(registry)
     private val orders = newOrderLoop()
     private val rpc =
         SidecarRpc(
@@ -80,7 +87,7 @@
             metrics = metrics,
             time = time,
         )
-    private val server = RpcServer.build(settings.entries, rpc)
+    private val server = RpcServer.build(settings.entries, rpc, traffic.serverTracer)
 
     /** Binds the port, registers, and serves until the process is stopped. */
     public fun run() {
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/RpcServer.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/RpcServer.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.sidecar.rpc
 
 import io.grpc.Server
+import io.grpc.ServerStreamTracer
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder
 import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup
 import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioServerSocketChannel
@@ -17,7 +18,7 @@
     private const val KEEP_ALIVE_TIMEOUT_S = 5L
 
     /** Builds the server; it does not listen yet. */
-    fun build(address: ListenAddress, rpc: SidecarRpc): Server =
+    fun build(address: ListenAddress, rpc: SidecarRpc, tracer: ServerStreamTracer.Factory): Server =
         NettyServerBuilder
             .forAddress(InetSocketAddress(address.host, address.port))
             .bossEventLoopGroup(NioEventLoopGroup(1))
@@ -30,6 +31,7 @@
             .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_S, TimeUnit.SECONDS)
             .permitKeepAliveTime(1, TimeUnit.SECONDS)
             .permitKeepAliveWithoutCalls(true)
+            .addStreamTracerFactory(tracer)
             .addService(rpc)
             .build()
 }
