Keep copies of receipts at the entry that served the request

Cause: nothing gave the entry's copies to the collector, so a lost sidecar lost its open bills.

Ruled out: a hook in each kind of attempt, as a client around the sidecar's client sees all of them.

Change: a client that hands each receipt to the entry's copies. The copies are bounded: without room the sidecar's own is the only one, and a line is logged.

CallersListenerTest's "caller that leaves" failed once in a full run at a load of over 20 on the machine and passed twice alone.

Conclusion: copies reach the holder on the same entry; between entries the call is made, and the peers' listener has to answer it.

--- a/core/src/main/kotlin/org/medlarhook/core/usage/EntryReceiptBuffer.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/EntryReceiptBuffer.kt
@@ -16,13 +16,14 @@
     /** Says whether [inFlight] attempts and the kept copies leave room for one more attempt. */
     public fun hasRoom(inFlight: Int): Boolean = synchronized(lock) { count + inFlight < capacity }
 
-    /** Keeps [receipt]; a second copy changes nothing. */
-    public fun keep(receipt: UsageReceipt) {
+    /** Keeps [receipt]; false if there is no room. A second copy changes nothing. */
+    public fun keep(receipt: UsageReceipt): Boolean =
         synchronized(lock) {
+            if (count >= capacity) return@synchronized false
             val previous = copies.getOrPut(receipt.source) { TreeMap() }.put(receipt.sequence, receipt)
             if (previous == null) count++
+            true
         }
-    }
 
     /** The sources of which copies are kept. */
     public fun sources(): Set<ReceiptSource> = synchronized(lock) { copies.keys.toSet() }
--- a/core/src/test/kotlin/org/medlarhook/core/usage/UsageBookTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/usage/UsageBookTest.kt
@@ -68,7 +68,7 @@
         fun `Given a committed page with a gap below it, then its copies go and the others stay`() {
             val buffer = EntryReceiptBuffer(capacity = 3)
             listOf(1L, 3L, 5L).forEach { buffer.keep(receipt(it, 0)) }
-            assertEquals(false, buffer.hasRoom(inFlight = 0))
+            assertEquals(false, buffer.hasRoom(inFlight = 0) || buffer.keep(receipt(7, 0)))
             buffer.committed(listOf(receipt(3, 0)))
             buffer.cover(source, 1)
             assertEquals(listOf(5L), buffer.page(source, 9).map { it.sequence })
--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -54,6 +54,7 @@
             time = time,
             scheduler = scheduler,
             registry = { operators.registry },
+            keepReceipt = control::keep,
         )
     private val operators: OperatorsListener =
         OperatorsListener(
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -11,6 +11,7 @@
 import org.medlarhook.entry.claim.ClaimCleaner
 import org.medlarhook.entry.claim.ClaimCodec
 import org.medlarhook.entry.claim.GroupedClaimStore
+import org.medlarhook.entry.control.ReceiptKeepingClient
 import org.medlarhook.entry.directory.DirectoryView
 import org.medlarhook.entry.http.Callers
 import org.medlarhook.entry.http.CallersListener
@@ -28,6 +29,7 @@
 import org.medlarhook.platform.ObjectStore
 import org.medlarhook.platform.TableService
 import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.Receipt
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
 import java.util.concurrent.Executors
@@ -44,6 +46,7 @@
     private val registry: () -> MeterRegistry,
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
     private val retryBudget: CallRetryBudget = CallRetryBudget { true },
+    private val keepReceipt: (Receipt) -> Unit = {},
 ) {
     private val workers = Executors.newFixedThreadPool(settings.calls.workers)
     private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
@@ -106,7 +109,7 @@
                 directory = directory,
                 pool = pool,
                 chooser = chooser,
-                client = GrpcSidecarClient(),
+                client = ReceiptKeepingClient(GrpcSidecarClient(), keepReceipt),
                 claims = claims,
                 retryBudget = retryBudget,
                 time = time,
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptCopies.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptCopies.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.grpc.ManagedChannel
 import io.grpc.StatusRuntimeException
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
@@ -16,6 +17,8 @@
 import org.medlarhook.protocol.EntryServiceGrpc
 import org.medlarhook.protocol.Receipt
 import org.medlarhook.protocol.ReceiptsPage
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
 import java.util.concurrent.TimeUnit
 
 /**
@@ -29,6 +32,7 @@
     private val members: EntryMembers,
     private val own: (ReceiptSource, List<UsageReceipt>) -> Either<UsageRefusal, Long>,
 ) {
+    private val logger = KotlinLogging.logger {}
     private val buffer = EntryReceiptBuffer(CAPACITY)
     private var peer: Peer? = null
 
@@ -43,8 +47,15 @@
     /** Says whether a copy of one more receipt finds its place with [inFlight] requests under way. */
     fun hasRoom(inFlight: Int): Boolean = buffer.hasRoom(inFlight)
 
-    /** Keeps a copy of [receipt]. */
-    fun keep(receipt: Receipt): Unit = buffer.keep(receipt.toUsageReceipt())
+    /** Keeps a copy of [receipt] if there is room; without one the sidecar's own is the only one. */
+    fun keep(receipt: Receipt) {
+        if (!buffer.keep(receipt.toUsageReceipt())) {
+            logger.warnEvent(
+                LogEvent.COPY_NOT_KEPT,
+                "attempt" to receipt.attemptId,
+            )
+        }
+    }
 
     /** Offers a page of each source. */
     fun run() {
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptKeepingClient.kt
@@ -0,0 +1,35 @@
+package org.medlarhook.entry.control
+
+import org.medlarhook.entry.upstream.GenerateListener
+import org.medlarhook.entry.upstream.GenerateStream
+import org.medlarhook.entry.upstream.SidecarClient
+import org.medlarhook.entry.upstream.UpstreamLink
+import org.medlarhook.protocol.GenerateEvent
+import org.medlarhook.protocol.GenerateRequest
+import org.medlarhook.protocol.Receipt
+import org.medlarhook.protocol.ServiceAnswer
+import org.medlarhook.protocol.ServiceCall
+
+/** Calls sidecars by [target], and hands the receipt of each finished attempt to [keep]. */
+internal class ReceiptKeepingClient(
+    private val target: SidecarClient,
+    private val keep: (Receipt) -> Unit,
+) : SidecarClient by target {
+    override fun generate(link: UpstreamLink, request: GenerateRequest, listener: GenerateListener): GenerateStream =
+        target.generate(link, request, Listener(listener))
+
+    override fun callService(link: UpstreamLink, call: ServiceCall, done: (ServiceAnswer?) -> Unit) =
+        target.callService(link, call) { answer ->
+            if (answer != null && answer.hasReceipt()) keep(answer.receipt)
+            done(answer)
+        }
+
+    private inner class Listener(
+        private val next: GenerateListener,
+    ) : GenerateListener by next {
+        override fun event(event: GenerateEvent) {
+            if (event.hasFinished() && event.finished.hasReceipt()) keep(event.finished.receipt)
+            next.event(event)
+        }
+    }
+}
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -38,5 +38,6 @@
     INTENT_FINISHED(505, "The platform has accepted a start or stop of upstreams"),
     WINDOW_FROZEN(506, "Usage window frozen"),
     WINDOW_SENT(507, "Usage window sent"),
+    COPY_NOT_KEPT(508, "No room for a copy of a receipt; the sidecar still holds it"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
--- a/sidecar/src/test/kotlin/org/medlarhook/sidecar/control/OrderLoopTest.kt
+++ b/sidecar/src/test/kotlin/org/medlarhook/sidecar/control/OrderLoopTest.kt
@@ -59,7 +59,9 @@
         state.isHealthy = true
         val hub = StatusHub(state::toMessage)
         val gate = IntakeGate(state, {}, running::get, hub, SystemTimeSource)
-        return OrderLoop(key, { state.incarnation }, tables, OrderedEngine(engine, gate, state, hub), SystemTimeSource).also { it.start() }
+        return OrderLoop(key, {
+            state.incarnation
+        }, tables, OrderedEngine(engine, gate, state, hub), SystemTimeSource).also { it.start() }
     }
 
     private fun write(row: OrderRow) {
