--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -58,6 +58,7 @@
             scheduler = scheduler,
             registry = { registry },
             traffic = traffic,
+            keepReceipt = control::keep,
         )
     private val operators: OperatorsListener =
         OperatorsListener(
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -11,6 +11,7 @@
 import org.medlarhook.entry.claim.ClaimCleaner
 import org.medlarhook.entry.claim.ClaimCodec
 import org.medlarhook.entry.claim.GroupedClaimStore
+import org.medlarhook.entry.control.ReceiptKeepingClient
 import org.medlarhook.entry.directory.DirectoryView
 import org.medlarhook.entry.http.Callers
 import org.medlarhook.entry.http.CallersListener
@@ -28,6 +29,7 @@
 import org.medlarhook.platform.ObjectStore
 import org.medlarhook.platform.TableService
 import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.Receipt
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
 import org.medlarhook.runtime.traffic.ControlTraffic
@@ -46,6 +48,7 @@
     traffic: ControlTraffic = ControlTraffic(registry()),
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
     private val retryBudget: CallRetryBudget = CallRetryBudget { true },
+    private val keepReceipt: (Receipt) -> Unit = {},
 ) {
     private val workers = Executors.newFixedThreadPool(settings.calls.workers)
     private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
@@ -108,7 +111,7 @@
                 directory = directory,
                 pool = pool,
                 chooser = chooser,
-                client = GrpcSidecarClient(),
+                client = ReceiptKeepingClient(GrpcSidecarClient(), keepReceipt),
                 claims = claims,
                 retryBudget = retryBudget,
                 time = time,
