--- a/loadtool/src/main/kotlin/org/medlarhook/loadtool/policy/PolicyScenario.kt
+++ b/loadtool/src/main/kotlin/org/medlarhook/loadtool/policy/PolicyScenario.kt
@@ -18,18 +18,7 @@
     val reportLagMs: Double = 50.0,
 ) {
     /** Arrivals per second and share of verdicts at [nowMs], linear between the points. */
-    fun phaseAt(nowMs: Double): PhasePoint {
-        val atS = nowMs / MS_PER_S
-        val after = phases.firstOrNull { it.atS >= atS } ?: return phases.last()
-        val before = phases.lastOrNull { it.atS <= atS } ?: return phases.first()
-        if (after.atS == before.atS) return after
-        val share = (atS - before.atS) / (after.atS - before.atS)
-        return PhasePoint(
-            atS = atS,
-            ratePerS = before.ratePerS + share * (after.ratePerS - before.ratePerS),
-            verdictShare = before.verdictShare + share * (after.verdictShare - before.verdictShare),
-        )
-    }
+    fun phaseAt(nowMs: Double): PhasePoint = PhasePoint.between(phases, nowMs / MS_PER_S)
 
     companion object {
         const val MS_PER_S = 1_000.0
@@ -86,7 +75,22 @@
     val atS: Double,
     val ratePerS: Double,
     val verdictShare: Double,
-)
+) {
+    companion object {
+        /** The load at [atS], linear between [points]. */
+        fun between(points: List<PhasePoint>, atS: Double): PhasePoint {
+            val after = points.firstOrNull { it.atS >= atS } ?: return points.last()
+            val before = points.lastOrNull { it.atS <= atS } ?: return points.first()
+            if (after.atS == before.atS) return after
+            val share = (atS - before.atS) / (after.atS - before.atS)
+            return PhasePoint(
+                atS = atS,
+                ratePerS = before.ratePerS + share * (after.ratePerS - before.ratePerS),
+                verdictShare = before.verdictShare + share * (after.verdictShare - before.verdictShare),
+            )
+        }
+    }
+}
 
 /** Engines that are down from [fromS] to [toS]: one of [engine], or all of [region]. */
 @Serializable
