--- a/core/src/main/kotlin/org/medlarhook/core/role/MixForecast.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/role/MixForecast.kt
@@ -34,7 +34,7 @@
 
     private companion object {
         const val MS_PER_S = 1_000.0
-        const val LEVEL_S = 5.0
+        const val LEVEL_S = 10.0
         const val TREND_S = 20.0
         const val DAMPING_S = 10.0
         const val MAX_AHEAD_S = 30.0
--- a/core/src/main/kotlin/org/medlarhook/core/role/RoleSettings.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/role/RoleSettings.kt
@@ -12,7 +12,7 @@
 public data class RoleSettings(
     val awayMs: Long = 4_000,
     val horizonMs: Long = 60_000,
-    val minGain: Double = 2.0,
+    val minGain: Double = 4.0,
     val minDwellMs: Long = 30_000,
     val maxMoving: Int = 1,
     val maxAgeMs: Long = 5_000,
--- a/loadtool/src/main/kotlin/org/medlarhook/loadtool/compare/GoodputPlot.kt
+++ b/loadtool/src/main/kotlin/org/medlarhook/loadtool/compare/GoodputPlot.kt
@@ -12,6 +12,7 @@
     private const val PLOT_HEIGHT = 330
     private const val LEGEND_STEP = 20
     private const val GRID_LINES = 4
+    private const val PERCENT = 100
     private const val LABEL_GAP = 8
     private const val TITLE_GAP = 10
     private const val LEGEND_GAP = 15
@@ -30,8 +31,9 @@
     private fun grid(endS: Int): String {
         val rows = (0..GRID_LINES).joinToString("") { step ->
             val y = y(step.toDouble() / GRID_LINES)
+            val percent = step * PERCENT / GRID_LINES
             """<line x1="$LEFT" x2="${LEFT + PLOT_WIDTH}" y1="$y" y2="$y" stroke="#dddddd"/>""" +
-                """<text x="${LEFT - LABEL_GAP}" y="${y + TITLE_GAP / 2}" text-anchor="end">${step * 100 / GRID_LINES}%</text>"""
+                """<text x="${LEFT - LABEL_GAP}" y="${y + TITLE_GAP / 2}" text-anchor="end">$percent%</text>"""
         }
         return rows +
             """<text x="$LEFT" y="${TOP - TITLE_GAP}">Whole answers in time, share of the requests</text>""" +
