--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.entry
 
+import io.grpc.netty.shaded.io.netty.channel.nio.NioEventLoopGroup
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
@@ -30,7 +31,6 @@
 import org.medlarhook.platform.TimeSource
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
-import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 
 /** The parts that take a request from a caller to an upstream and back. */
@@ -45,7 +45,7 @@
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
     private val retryBudget: CallRetryBudget = CallRetryBudget { true },
 ) {
-    private val workers = Executors.newFixedThreadPool(settings.calls.workers)
+    private val workers = NioEventLoopGroup(settings.calls.workers)
     private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
     private val claims = GroupedClaimStore(tables, codec, time, settings.claims)
     private val cleaner = ClaimCleaner(tables, codec, settings.claims.retentionMs)
@@ -88,7 +88,7 @@
         listener.stop()
         claims.close()
         pool.close()
-        workers.shutdown()
+        workers.shutdownGracefully()
         return isFinished
     }
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationAttempt.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationAttempt.kt
@@ -27,7 +27,7 @@
 
     /** True while events are not asked for, as the caller is slow. */
     val isHeldBack: Boolean
-        get() = owed.get() > 0
+        get() = sink.isFull
 
     /** Sends the attempt. */
     fun start(client: SidecarClient, request: GenerateRequest) {
@@ -51,6 +51,11 @@
         if (count > 0) opened.request(count)
     }
 
+    /** Asks for more events in batches, as each question costs a message. */
+    private fun handled() {
+        if (owed.incrementAndGet() >= GenerateStream.EVENTS_AHEAD / 2) resume()
+    }
+
     override fun event(event: WireEvent) {
         when (event.eventCase) {
             WireEvent.EventCase.STARTED -> post(GenerationEvent.Heard(id, started = true))
@@ -60,8 +65,7 @@
             WireEvent.EventCase.REFUSAL -> post(GenerationEvent.Refused(id, event.refusal.toFailure()))
             WireEvent.EventCase.EVENT_NOT_SET, null -> post(GenerationEvent.Heard(id, started = false))
         }
-        owed.incrementAndGet()
-        resume()
+        handled()
     }
 
     override fun ended(detail: String) {
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/GrpcSidecarClient.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/GrpcSidecarClient.kt
@@ -73,7 +73,7 @@
 
         override fun beforeStart(requestStream: ClientCallStreamObserver<GenerateRequest>) {
             call = requestStream
-            requestStream.disableAutoRequestWithInitial(EVENTS_AHEAD)
+            requestStream.disableAutoRequestWithInitial(GenerateStream.EVENTS_AHEAD)
         }
 
         override fun onNext(event: GenerateEvent) = listener.event(event)
@@ -88,7 +88,6 @@
     }
 
     private companion object {
-        const val EVENTS_AHEAD = 32
         const val DEADLINE_SLACK_MS = 1_000L
         const val SEAL_TIMEOUT_MS = 1_000L
     }
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
@@ -2,22 +2,26 @@
 
 import io.grpc.ManagedChannel
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
-import java.util.concurrent.Executor
+import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup
+import io.grpc.netty.shaded.io.netty.channel.socket.nio.NioSocketChannel
 import java.util.concurrent.TimeUnit
 
 /**
  * Opens channels without encryption. gRPC's own retries are off; what it may still send again is a call that has
- * surely not reached the application, and the sidecar knows such a call by its attempt id.
+ * surely not reached the application, and the sidecar knows such a call by its attempt id. Events are handled on the
+ * threads of [workers] that read them, as no handler blocks.
  */
 internal class PlainChannelFactory(
-    private val workers: Executor,
+    private val workers: EventLoopGroup,
 ) : ChannelFactory {
     override fun open(address: String): ManagedChannel =
         NettyChannelBuilder
             .forTarget(address)
             .usePlaintext()
             .disableRetry()
-            .executor(workers)
+            .eventLoopGroup(workers)
+            .channelType(NioSocketChannel::class.java)
+            .directExecutor()
             .keepAliveTime(KEEP_ALIVE_S, TimeUnit.SECONDS)
             .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_S, TimeUnit.SECONDS)
             .maxInboundMessageSize(MAX_MESSAGE_BYTES)
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/SidecarClient.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/SidecarClient.kt
@@ -39,4 +39,9 @@
 
     /** Cancels the generation. */
     fun cancel()
+
+    companion object {
+        /** Events that may come before more are asked for. */
+        const val EVENTS_AHEAD = 64
+    }
 }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/CallSettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/CallSettings.kt
@@ -22,7 +22,7 @@
     val maxAttempts: Int = 3,
     val firstEventTimeoutMs: Long = 10_000,
     val silenceTimeoutMs: Long = 5_000,
-    val heartbeatTimeoutMs: Long = 3_000,
+    val heartbeatTimeoutMs: Long = 5_000,
     val tickMs: Long = 100,
     val keyCheckMs: Long = 1_000,
     val callerHeartbeatMs: Long = 2_000,
