--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -1,8 +1,12 @@
 package org.medlarhook.entry
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
+import org.medlarhook.entry.control.ControlPlane
+import org.medlarhook.entry.control.ControlPlatform
 import org.medlarhook.entry.directory.DirectoryService
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
@@ -16,6 +20,7 @@
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
@@ -26,11 +31,22 @@
     private val settings: EntrySettings,
 ) {
     private val time = SystemTimeSource
-    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val traffic = ControlTraffic(registry)
+    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs, traffic.httpListener)
     private val tables = HttpTableService(platform)
     private val objects = HttpPlatform(platform)
     private val reader = DirectoryReader(tables, objects)
-    private val directory = DirectoryService(settings, tables, objects, objects, time)
+    private val directory =
+        DirectoryService(settings, tables, objects, objects, time, traffic) { control.accept(it).getOrNull() }
+    private val control: ControlPlane =
+        ControlPlane(
+            entryId = directory.entryId,
+            dataCentre = settings.dataCentre,
+            platform = ControlPlatform(tables, ordering = objects, reporting = objects),
+            time = time,
+            traffic = traffic,
+        )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
     private val requests: RequestPath =
         RequestPath(
@@ -40,7 +56,9 @@
             directory = directory.view,
             time = time,
             scheduler = scheduler,
-            registry = { operators.registry },
+            registry = { registry },
+            traffic = traffic,
+            keepReceipt = control::keep,
         )
     private val operators: OperatorsListener =
         OperatorsListener(
@@ -48,6 +66,7 @@
             time = time,
             isReady = { requests.gate.isReady },
             dumps = dumps(),
+            registry = registry,
             routes = operatorsRoutes()::register,
         )
 
@@ -56,6 +75,7 @@
         directory.start()
         operators.start()
         requests.start(::every)
+        control.start()
         Runtime.getRuntime().addShutdownHook(Thread(::stop))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
@@ -63,6 +83,7 @@
     private fun stop() {
         logger.event(LogEvent.DRAIN_STARTED, "open" to requests.open.count)
         val isFinished = requests.stop()
+        control.stop()
         directory.stop()
         scheduler.shutdownNow()
         operators.stop()
@@ -89,7 +110,8 @@
         return OperatorsRoutes(config, directory.inForce, time)
     }
 
-    private fun dumps(): Map<String, StateDump> = mapOf("directory" to directory.dump) + requests.dumps()
+    private fun dumps(): Map<String, StateDump> =
+        mapOf("directory" to directory.dump, "control" to control.dump()) + requests.dumps()
 
     private companion object {
         const val SCHEDULER_THREADS = 4
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -9,9 +9,11 @@
 import org.medlarhook.entry.call.CallMetrics
 import org.medlarhook.entry.call.CallServices
 import org.medlarhook.entry.call.OpenRequests
+import org.medlarhook.entry.call.SharedRetryBudget
 import org.medlarhook.entry.claim.ClaimCleaner
 import org.medlarhook.entry.claim.ClaimCodec
 import org.medlarhook.entry.claim.GroupedClaimStore
+import org.medlarhook.entry.control.ReceiptKeepingClient
 import org.medlarhook.entry.directory.DirectoryView
 import org.medlarhook.entry.http.Callers
 import org.medlarhook.entry.http.CallersListener
@@ -29,8 +31,10 @@
 import org.medlarhook.platform.ObjectStore
 import org.medlarhook.platform.TableService
 import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.Receipt
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.ScheduledExecutorService
 
 /** The parts that take a request from a caller to an upstream and back. */
@@ -42,8 +46,10 @@
     private val time: TimeSource,
     private val scheduler: ScheduledExecutorService,
     private val registry: () -> MeterRegistry,
+    traffic: ControlTraffic = ControlTraffic(registry()),
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
-    private val retryBudget: CallRetryBudget = CallRetryBudget { true },
+    private val retryBudget: CallRetryBudget = SharedRetryBudget(),
+    private val keepReceipt: (Receipt) -> Unit = {},
 ) {
     private val workers = NioEventLoopGroup(settings.calls.workers)
     private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
@@ -61,7 +67,7 @@
         UpstreamPool(
             entryId = settings.entryId,
             tables = tables,
-            channels = PlainChannelFactory(workers),
+            channels = PlainChannelFactory(workers, traffic.clientInterceptor),
             time = time,
             heartbeatTimeoutMs = settings.calls.heartbeatTimeoutMs,
         )
@@ -106,7 +112,7 @@
                 directory = directory,
                 pool = pool,
                 chooser = chooser,
-                client = GrpcSidecarClient(),
+                client = ReceiptKeepingClient(GrpcSidecarClient(), keepReceipt),
                 claims = claims,
                 retryBudget = retryBudget,
                 time = time,
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/AttemptChooser.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/AttemptChooser.kt
@@ -18,7 +18,7 @@
     /** Chooses outside [excluded]; a retry takes from the retry budget first. */
     fun choose(excluded: Set<String>, isRetry: Boolean): Either<Failure, ChosenAttempt> {
         if (isRetry && !services.retryBudget.tryTake(services.time.monotonicMs())) return none().left()
-        if (isRetry) services.metrics.retried()
+        if (isRetry) services.metrics.retried() else services.retryBudget.onRequest()
         val link = services.chooser.choose(candidates().filter { it.registration.upstreamId !in excluded })
         return link?.let { ChosenAttempt(it, newAttempt(it)).right() } ?: none().left()
     }
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/PlainChannelFactory.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.entry.upstream
 
+import io.grpc.ClientInterceptor
 import io.grpc.ManagedChannel
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
 import io.grpc.netty.shaded.io.netty.channel.EventLoopGroup
@@ -13,12 +14,14 @@
  */
 internal class PlainChannelFactory(
     private val workers: EventLoopGroup,
+    private val interceptor: ClientInterceptor,
 ) : ChannelFactory {
     override fun open(address: String): ManagedChannel =
         NettyChannelBuilder
             .forTarget(address)
             .usePlaintext()
             .disableRetry()
+            .intercept(interceptor)
             .eventLoopGroup(workers)
             .channelType(NioSocketChannel::class.java)
             .directExecutor()
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -32,5 +32,13 @@
     DRAIN_LIMIT_PASSED(309, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
     ENTRY_REGISTERED(402, "Entry registered"),
+    LEASE_TAKEN(501, "Lease taken"),
+    LEASE_LOST(502, "Lease lost or handed back"),
+    ORDER_ISSUED(503, "Order issued to an upstream"),
+    ORDER_FAILED(504, "Order could not be applied"),
+    INTENT_FINISHED(505, "The platform has accepted a start or stop of upstreams"),
+    WINDOW_FROZEN(506, "Usage window frozen"),
+    WINDOW_SENT(507, "Usage window sent"),
+    COPY_NOT_KEPT(508, "No room for a copy of a receipt; the sidecar still holds it"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -1,6 +1,8 @@
 package org.medlarhook.sidecar
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.medlarhook.core.attempt.AttemptDispatcher
 import org.medlarhook.core.attempt.AttemptLimits
 import org.medlarhook.core.attempt.AttemptScheduler
@@ -8,6 +10,7 @@
 import org.medlarhook.core.attempt.SharedDispatcher
 import org.medlarhook.core.attempt.SpeedEstimate
 import org.medlarhook.core.fairness.FairQueue
+import org.medlarhook.core.order.OrderKey
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.runtime.log.LogEvent
@@ -17,8 +20,13 @@
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.SidecarSettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import org.medlarhook.sidecar.attempt.AttemptRunner
+import org.medlarhook.sidecar.control.IntakeGate
+import org.medlarhook.sidecar.control.OrderLoop
+import org.medlarhook.sidecar.control.OrderedEngine
 import org.medlarhook.sidecar.engine.HttpEngineAdapter
+import org.medlarhook.sidecar.engine.HttpEngineControl
 import org.medlarhook.sidecar.engine.SilenceWatch
 import org.medlarhook.sidecar.health.HealthMonitor
 import org.medlarhook.sidecar.lifecycle.GracefulStop
@@ -48,7 +56,10 @@
     private val limits = settings.limits
     private val slots = settings.engine?.slots ?: settings.service?.concurrentCalls ?: 1
     private val timer = Workers.timer()
-    private val tables = HttpTableService(PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs))
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val traffic = ControlTraffic(registry)
+    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs, traffic.httpListener)
+    private val tables = HttpTableService(platform)
     private val incarnationListeners: List<IncarnationListener> = emptyList()
     private val workers = Workers.pool(slots)
 
@@ -62,18 +73,21 @@
             time,
             { state.isAccepting },
             mapOf("sidecar" to SidecarDump(state) { serving }),
+            registry,
         )
-    private val metrics = SidecarMetrics(operators.registry)
+    private val metrics = SidecarMetrics(registry)
+    private val orders = newOrderLoop()
     private val rpc =
         SidecarRpc(
             serving = { serving },
+            orders = orders,
             hub = hub,
             engine = settings.engine?.let { HttpEngineAdapter(it, SilenceWatch(timer), time) },
             service = settings.service?.let { ServiceAdapter(it, time) },
             metrics = metrics,
             time = time,
         )
-    private val server = RpcServer.build(settings.entries, rpc)
+    private val server = RpcServer.build(settings.entries, rpc, traffic.serverTracer)
 
     /** Binds the port, registers, and serves until the process is stopped. */
     public fun run() {
@@ -112,6 +126,7 @@
         logger.event(LogEvent.SIDECAR_REGISTERED, "incarnation" to incarnation)
         HealthMonitor(backendUrl(), limits, timer, ::onHealthChange).start()
         timer.scheduleWithFixedDelay(hub::publish, 0, limits.heartbeatMs, TimeUnit.MILLISECONDS)
+        orders.start()
         IncarnationRenewal({ present.dispatcher.usedShare }, ::register, ::renew).start(timer)
     }
 
@@ -136,6 +151,20 @@
         return Serving(incarnation, dispatcher, runner, newReceiptLog(incarnation))
     }
 
+    private fun newOrderLoop(): OrderLoop {
+        val key = OrderKey(settings.dataCentre, settings.upstreamId)
+        val door = settings.engine?.let { HttpEngineControl(it.url, it.connectTimeoutMs) }
+        val gate =
+            IntakeGate(
+                state = state,
+                setAvailable = { serving?.runner?.setAvailable(it) },
+                running = { serving?.dispatcher?.load?.running ?: 0 },
+                hub = hub,
+                time = time,
+            )
+        return OrderLoop(key, { state.incarnation }, tables, OrderedEngine(door, gate, state, hub), time)
+    }
+
     private fun initialSpeeds(): SpeedEstimate {
         val engine = settings.engine
         if (engine != null) return SpeedEstimate(engine.prefillTokensPerS, engine.decodeTokensPerS)
@@ -148,7 +177,7 @@
     private fun onHealthChange(isHealthy: Boolean) {
         logger.event(if (isHealthy) LogEvent.UPSTREAM_ANSWERS else LogEvent.UPSTREAM_SILENT)
         state.isHealthy = isHealthy
-        serving?.runner?.setAvailable(isHealthy)
+        serving?.runner?.setAvailable(isHealthy && !state.isClosedByOrder)
         hub.publish()
     }
 
