--- a/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
@@ -26,6 +26,7 @@
                 DemoStep("a verdict from a long prompt", ::longVerdict),
                 DemoStep("a streamed instruction", ::streamedInstruction),
                 DemoStep("a booking through a plain service", ::booking),
+                DemoStep("a booking sent twice with one idempotency key through two entries", ::repeatedBooking),
                 DemoStep("an open route needs no key", ::openRoute),
                 DemoStep("a withdrawn key stops working", ::withdrawnKey),
             )
@@ -50,6 +51,15 @@
         check(answer.status == HTTP_CREATED) { answer.toString() }
     }
 
+    private fun repeatedBooking() {
+        val headers = mapOf("Idempotency-Key" to "demo-plaza-central")
+        val answers =
+            listOf(first, second).map {
+                caller.post("$it/services/${Demo.SERVICE}/bookings", key, """{"plaza":"twice"}""", headers)
+            }
+        check(answers.all { it.status == HTTP_CREATED } && answers.toSet().size == 1) { answers.toString() }
+    }
+
     private fun openRoute() {
         val answer = caller.get("$second/services/${Demo.SERVICE}/healthz", null)
         check(answer.status == HTTP_OK) { answer.toString() }
