--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -29,7 +29,8 @@
     UPSTREAM_ANSWERS(306, "Engine or service answers its health probe again"),
     SIDECAR_REGISTERED(307, "Sidecar registered"),
     RECEIPT_DROPPED(308, "A receipt that no collector had taken was dropped"),
-    DRAIN_LIMIT_PASSED(309, "Attempts still ran when the limit of the graceful shutdown passed"),
+    ATTEMPT_MEMORY_LOW(309, "The memory for attempts is nearly used up"),
+    DRAIN_LIMIT_PASSED(310, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/registration/IncarnationRenewal.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/registration/IncarnationRenewal.kt
@@ -1,5 +1,8 @@
 package org.medlarhook.sidecar.registration
 
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicBoolean
@@ -16,6 +19,7 @@
     private val register: () -> Long?,
     private val onRenewed: (incarnation: Long) -> Unit,
 ) {
+    private val logger = KotlinLogging.logger {}
     private val isRenewing = AtomicBoolean()
 
     /** Checks the memory at intervals on [timer]. */
@@ -26,6 +30,7 @@
     /** Renews in the background if the memory is low. */
     fun check() {
         if (usedShare() < RENEWAL_SHARE || !isRenewing.compareAndSet(false, true)) return
+        logger.warnEvent(LogEvent.ATTEMPT_MEMORY_LOW, "usedShare" to usedShare())
         thread(name = "renewal", isDaemon = true) {
             register()?.let(onRenewed)
             isRenewing.set(false)
--- a/systemtest/src/test/kotlin/org/medlarhook/systemtest/sidecar/SidecarFleet.kt
+++ b/systemtest/src/test/kotlin/org/medlarhook/systemtest/sidecar/SidecarFleet.kt
@@ -19,11 +19,15 @@
     val fleet = startFleet()
 
     /** Starts an engine whose sidecar notices silence within a second. */
-    fun engine(slots: Int = 8, decodeTokensPerS: Double = 100.0): UpstreamNode =
+    fun engine(
+        slots: Int = 8,
+        decodeTokensPerS: Double = 100.0,
+        maxForgottenAttempts: Int = 500_000,
+    ): UpstreamNode =
         fleet.startEngine("dc", "region", plan(slots, decodeTokensPerS)) { settings ->
             settings.copy(
                 engine = settings.engine?.copy(firstByteTimeoutMs = 1_000, betweenTokenTimeoutMs = 1_000),
-                limits = quickLimits(settings),
+                limits = quickLimits(settings).copy(maxForgottenAttempts = maxForgottenAttempts),
             )
         }
 
--- a/systemtest/src/test/kotlin/org/medlarhook/systemtest/sidecar/SidecarProcessTest.kt
+++ b/systemtest/src/test/kotlin/org/medlarhook/systemtest/sidecar/SidecarProcessTest.kt
@@ -116,6 +116,28 @@
         }
     }
 
+    @Nested
+    inner class Memory {
+        @Test
+        fun `Given a nearly full memory for attempts, then a new incarnation is taken and no stream is cut`() {
+            val node = world.engine(maxForgottenAttempts = 1_000).also { it.awaitReady() }
+            SidecarClient(node).use { client ->
+                val first = client.incarnation()
+                val running = client.generate("running", 1_000)
+                running.started.get(5, TimeUnit.SECONDS)
+                repeat(4_500) { client.seal("sealed-$it", first) }
+                Readiness.until("no new incarnation", 9_000) { client.incarnation() == first + 1 }
+                assertEquals(AttemptState.RUNNING, client.seal("running", first).state)
+                assertWhole(client.generate("new", 5), 0 until 5)
+                assertWhole(running, 0 until 1_000)
+                val late = client.generate("sealed-1", 5) { incarnation = first }
+                late.await()
+                assertEquals(ResultCode.DUPLICATE_ATTEMPT.number, late.refusal?.code)
+                assertNotRun(node, listOf("sealed-1"))
+            }
+        }
+    }
+
     @Nested
     inner class Tables {
         @Test
