--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/ServiceTask.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/ServiceTask.kt
@@ -13,7 +13,7 @@
 import org.medlarhook.sidecar.rpc.toRefusal
 import org.medlarhook.sidecar.service.ServiceAdapter
 
-/** A call of the plain service. A call that is not idempotent runs on when its caller leaves, so that it can be asked. */
+/** A call of the plain service. One that is not idempotent runs on when its caller leaves, and a seal tells its end. */
 internal class ServiceTask(
     private val call: ServiceCall,
     private val answer: SingleAnswer<ServiceAnswer>,
--- a/standins/src/main/kotlin/org/medlarhook/standins/engine/BatchLoop.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/engine/BatchLoop.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.standins.engine
 
+import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicLong
 import java.util.concurrent.locks.LockSupport
 import kotlin.concurrent.thread
@@ -12,6 +13,7 @@
     private val model: EngineModel,
     private val faults: () -> EngineFaults,
     private val isAway: () -> Boolean,
+    private val writers: Executor,
     private val onPrefilled: (EngineStream) -> String?,
 ) {
     private val lock = Object()
@@ -46,6 +48,7 @@
         synchronized(lock) {
             val stream = (waiting + running).firstOrNull { it.body.attemptId == attemptId }
             stream?.end()
+            stream?.let { flush(listOf(it)) }
             waiting.remove(stream)
             running.remove(stream) || stream != null
         }
@@ -66,6 +69,14 @@
             stepEndNanos = maxOf(System.nanoTime() - LAG_NANOS, stepEndNanos) + durationNanos
             sleepUntil(stepEndNanos)
             decoding.forEach { decode(it) }
+            flush(decoding)
+        }
+    }
+
+    /** Each writer sends a share of the streams, so that a step costs few hand-overs. */
+    private fun flush(streams: List<EngineStream>) {
+        streams.chunked(STREAMS_PER_WRITE).forEach { share ->
+            writers.execute { share.forEach { it.flush() } }
         }
     }
 
@@ -153,6 +164,7 @@
         const val LAG_NANOS = 5_000_000L
         const val CHUNK_TOKENS = 512
         const val PAUSE_MS = 10L
+        const val STREAMS_PER_WRITE = 16
         const val TOKEN_STRIDE = 7919
         const val VOCABULARY = 50_000
     }
--- a/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineServer.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineServer.kt
@@ -25,7 +25,7 @@
     private val seen = SeenAttempts()
     private val timer = Executors.newScheduledThreadPool(1)
     private val writers = Executors.newFixedThreadPool(WRITERS)
-    private val loop = BatchLoop(model, { faults }, { orders.isAway }, ::exportIfAsked)
+    private val loop = BatchLoop(model, { faults }, { orders.isAway }, writers, ::exportIfAsked)
 
     fun start(port: Int) {
         loop.start()
@@ -65,7 +65,7 @@
         val transferMs = if (body.kvHandle.isEmpty()) null else imports.transferMs(body)
         val prefillTokens = if (transferMs != null) 0 else uncachedTokens(body)
         context.future {
-            val stream = EngineStream(body, prefillTokens, context.res().outputStream, writers)
+            val stream = EngineStream(body, prefillTokens, context.res().outputStream)
             timer.schedule({ loop.submit(stream) }, transferMs ?: 0, TimeUnit.MILLISECONDS)
             stream.done
         }
--- a/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineStream.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/engine/EngineStream.kt
@@ -3,17 +3,13 @@
 import java.io.IOException
 import java.io.OutputStream
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicBoolean
 
-/**
- * One generation in the batch. The batch loop changes it and adds lines; a writer thread sends what has come together.
- */
+/** One generation in the batch. The batch loop changes it and adds lines; a writer thread sends them. */
 internal class EngineStream(
     val body: GenerateBody,
     var prefillTokensLeft: Int,
     private val output: OutputStream,
-    private val writers: Executor,
 ) {
     /** Completes when the answer is sent or the caller has left. */
     val done = CompletableFuture<Unit>()
@@ -24,9 +20,6 @@
     /** The next output index. */
     var nextIndex = body.resumeFromToken
 
-    /** The last line sent, for the fault that crosses lines. */
-    var lastLine = ""
-
     @Volatile
     var isCancelled = false
         private set
@@ -34,18 +27,14 @@
     /** Adds one line. */
     fun add(line: String) {
         synchronized(lines) { lines.append(line) }
-        lastLine = line
-        write()
     }
 
     /** Ends the answer after the lines that were added. */
-    fun end() {
-        synchronized(lines) { isEnded = true }
-        write()
-    }
+    fun end(): Unit = synchronized(lines) { isEnded = true }
 
-    private fun write() {
-        if (isWriting.compareAndSet(false, true)) writers.execute(::writeAll)
+    /** Sends what has come together, unless another thread is at it. */
+    fun flush() {
+        if (isWriting.compareAndSet(false, true)) writeAll()
     }
 
     private fun writeAll() {
@@ -61,7 +50,7 @@
         }
         isWriting.set(false)
         if (isCancelled || synchronized(lines) { isEnded && lines.isEmpty() }) done.complete(Unit)
-        if (!isCancelled && synchronized(lines) { lines.isNotEmpty() }) write()
+        if (!isCancelled && synchronized(lines) { lines.isNotEmpty() }) flush()
     }
 
     private fun take(): String =
