--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -1,25 +1,26 @@
 package org.medlarhook.entry
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
-import org.medlarhook.entry.directory.PolledDirectory
+import org.medlarhook.entry.control.ControlPlane
+import org.medlarhook.entry.control.ControlPlatform
+import org.medlarhook.entry.directory.DirectoryService
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
-import org.medlarhook.entry.operators.InForceView
 import org.medlarhook.entry.operators.OperatorsRoutes
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.operators.OperatorsListener
 import org.medlarhook.runtime.operators.StateDump
-import org.medlarhook.runtime.operators.api.InForceAnswer
 import org.medlarhook.runtime.platform.HttpPlatform
 import org.medlarhook.runtime.platform.HttpTableService
 import org.medlarhook.runtime.platform.PlatformHttp
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
@@ -30,21 +31,33 @@
     private val settings: EntrySettings,
 ) {
     private val time = SystemTimeSource
-    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val traffic = ControlTraffic(registry)
+    private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs, traffic.httpListener)
     private val tables = HttpTableService(platform)
     private val objects = HttpPlatform(platform)
     private val reader = DirectoryReader(tables, objects)
-    private val directory = PolledDirectory(reader)
+    private val directory =
+        DirectoryService(settings, tables, objects, objects, time, traffic) { control.accept(it).getOrNull() }
+    private val control: ControlPlane =
+        ControlPlane(
+            entryId = directory.entryId,
+            dataCentre = settings.dataCentre,
+            platform = ControlPlatform(tables, ordering = objects, reporting = objects),
+            time = time,
+            traffic = traffic,
+        )
     private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
     private val requests: RequestPath =
         RequestPath(
             settings = settings,
             tables = tables,
             objects = objects,
-            directory = directory,
+            directory = directory.view,
             time = time,
             scheduler = scheduler,
-            registry = { operators.registry },
+            registry = { registry },
+            traffic = traffic,
         )
     private val operators: OperatorsListener =
         OperatorsListener(
@@ -52,14 +65,16 @@
             time = time,
             isReady = { requests.gate.isReady },
             dumps = dumps(),
+            registry = registry,
             routes = operatorsRoutes()::register,
         )
 
     /** Opens the listeners and follows the tables until the process is stopped. */
     public fun run() {
-        every(POLL_MS) { directory.poll() }
+        directory.start()
         operators.start()
         requests.start(::every)
+        control.start()
         Runtime.getRuntime().addShutdownHook(Thread(::stop))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
@@ -67,6 +82,8 @@
     private fun stop() {
         logger.event(LogEvent.DRAIN_STARTED, "open" to requests.open.count)
         val isFinished = requests.stop()
+        control.stop()
+        directory.stop()
         scheduler.shutdownNow()
         operators.stop()
         logger.event(LogEvent.PROCESS_STOPPED, "finished" to isFinished, "open" to requests.open.count)
@@ -88,17 +105,14 @@
         }
 
     private fun operatorsRoutes(): OperatorsRoutes {
-        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader))
-        val inForce = InForceView { version, _ -> InForceAnswer(version, directory.version >= version, emptyList()) }
-        return OperatorsRoutes(config, inForce, time)
+        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader), directory.appender)
+        return OperatorsRoutes(config, directory.inForce, time)
     }
 
     private fun dumps(): Map<String, StateDump> =
-        mapOf("directory" to StateDump { JsonObject(mapOf("version" to JsonPrimitive(directory.version))) }) +
-            requests.dumps()
+        mapOf("directory" to directory.dump, "control" to control.dump()) + requests.dumps()
 
     private companion object {
-        const val POLL_MS = 1_000L
         const val SCHEDULER_THREADS = 4
         const val EXIT_UNFINISHED = 1
     }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
@@ -9,6 +9,8 @@
 import org.medlarhook.protocol.AttemptState
 import org.medlarhook.protocol.GenerateEvent
 import org.medlarhook.protocol.GenerateRequest
+import org.medlarhook.protocol.OrderHint
+import org.medlarhook.protocol.OrderHintAck
 import org.medlarhook.protocol.ReceiptsPage
 import org.medlarhook.protocol.ReceiptsRequest
 import org.medlarhook.protocol.SealAnswer
@@ -21,6 +23,7 @@
 import org.medlarhook.sidecar.Serving
 import org.medlarhook.sidecar.attempt.GenerateTask
 import org.medlarhook.sidecar.attempt.ServiceTask
+import org.medlarhook.sidecar.control.OrderLoop
 import org.medlarhook.sidecar.engine.EngineAdapter
 import org.medlarhook.sidecar.operators.SidecarMetrics
 import org.medlarhook.sidecar.service.ServiceAdapter
@@ -29,6 +32,7 @@
 /** Answers the calls of entries. No function blocks: attempts run on workers. */
 internal class SidecarRpc(
     private val serving: () -> Serving?,
+    private val orders: OrderLoop,
     private val hub: StatusHub,
     private val engine: EngineAdapter?,
     private val service: ServiceAdapter?,
@@ -70,6 +74,13 @@
         hub.add(responses as ServerCallStreamObserver<UpstreamStatus>)
     }
 
+    override fun notifyOrder(hint: OrderHint, responses: StreamObserver<OrderHintAck>) {
+        orders.hint()
+        val ack = OrderHintAck.newBuilder().setAppliedGeneration(orders.completedGeneration)
+        responses.onNext(ack.build())
+        responses.onCompleted()
+    }
+
     override fun pullReceipts(request: ReceiptsRequest, responses: StreamObserver<ReceiptsPage>) {
         val receipts = serving()?.receiptLogs?.firstOrNull { it.incarnation == request.incarnation }
         val limit = request.limit.coerceIn(1, MAX_RECEIPTS)
