Read the order row before accepting attempts

Cause: the row was read after the sidecar had begun to accept, so that an upstream closed by an order took work for a moment after a restart.

Ruled out: a listener interface for this, with one implementer.

Conclusion: a closed upstream stays closed over a restart.

--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -34,7 +34,6 @@
 import org.medlarhook.sidecar.operators.SidecarDump
 import org.medlarhook.sidecar.operators.SidecarMetrics
 import org.medlarhook.sidecar.receipt.BoundedReceiptLog
-import org.medlarhook.sidecar.registration.IncarnationListener
 import org.medlarhook.sidecar.registration.IncarnationRenewal
 import org.medlarhook.sidecar.registration.RegistrationLoop
 import org.medlarhook.sidecar.registration.SidecarRegistrar
@@ -60,7 +59,6 @@
     private val traffic = ControlTraffic(registry)
     private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs, traffic.httpListener)
     private val tables = HttpTableService(platform)
-    private val incarnationListeners: List<IncarnationListener> = emptyList()
     private val workers = Workers.pool(slots)
 
     @Volatile
@@ -109,11 +107,11 @@
             false
         }
 
-    /** Registers under the next incarnation and lets the listeners prepare; null if the process stops before. */
+    /** Registers under the next incarnation and reads the order row; null if the process stops before. */
     private fun register(): Long? {
         val loop = RegistrationLoop(SidecarRegistrar(settings, tables), { state.isDraining })
         val incarnation = loop.run()?.incarnation ?: return null
-        incarnationListeners.forEach { it.onIncarnation(incarnation) }
+        orders.awaitRestored()
         return incarnation
     }
 
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/OrderLoop.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/OrderLoop.kt
@@ -40,6 +40,15 @@
     /** The generation that was completed last, as far as this process knows. */
     val completedGeneration: Long get() = applier?.orders?.state?.completedGeneration ?: 0
 
+    @Volatile
+    private var isRestored = false
+
+    /** Reads the row before attempts are accepted; blocks until the tables answer. */
+    fun awaitRestored() {
+        while (!restore()) pause()
+        isRestored = true
+    }
+
     /** Starts the thread. */
     fun start() {
         Thread(null, ::run, "orders", STACK_BYTES).apply { isDaemon = true }.start()
@@ -52,7 +61,7 @@
     }
 
     private fun run() {
-        while (!restore()) pause()
+        if (!isRestored) awaitRestored()
         while (true) {
             runGuarded()
             pause()
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineCall.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineCall.kt
@@ -59,18 +59,25 @@
         counter: SilenceCounter,
     ): Either<Failure, EngineEnd> {
         while (true) {
-            if (source.buffer.indexOf(LINE_END) < 0) sink.onPause()
-            val text = source.readUtf8Line() ?: return lost("the engine's stream ended early").left()
-            val line = JSON.decodeFromString(EngineLine.serializer(), text)
-            if (line.attemptId != request.attemptId) continue
+            val line = readOwnLine(source, sink) ?: return lost("the engine's stream ended early").left()
             if (line.end != null) return EngineEnd(line.end, line.kvHandle).right()
-            if (line.index < nextIndex) continue
             if (line.index > nextIndex) return abort("the engine left out token $nextIndex")
             counter.heard(settings.betweenTokenTimeoutMs)
             if (!take(line, sink)) return abort("the caller left")
         }
     }
 
+    /** Reads up to the next line that is this attempt's and not a repeat; null at the end of the stream. */
+    private fun readOwnLine(source: BufferedSource, sink: TokenSink): EngineLine? {
+        while (true) {
+            if (source.buffer.indexOf(LINE_END) < 0) sink.onPause()
+            val text = source.readUtf8Line() ?: return null
+            val line = JSON.decodeFromString(EngineLine.serializer(), text)
+            val isOwn = line.attemptId == request.attemptId
+            if (isOwn && (line.end != null || line.index >= nextIndex)) return line
+        }
+    }
+
     private fun take(line: EngineLine, sink: TokenSink): Boolean {
         hasToken = true
         nextIndex++
