Test the rule of authority with paused and killed processes

Cause: only real processes show what a pause does to calls that wait in a socket. Ruled out: a hold for processes that have just registered (no peer can believe that they lack the tables, so that an operator's first change need not wait 5 s). Change: a test that pauses an entry, withdraws a key and lets the entry go on; a test of an outage of the platform in which an entry is killed.

--- a/core/src/main/kotlin/org/medlarhook/core/directory/TablesReach.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/TablesReach.kt
@@ -35,4 +35,12 @@
         val asserts = lastReadOk || openWrites > 0
         return copy(assertedSinceMs = if (asserts) assertedSinceMs ?: nowMs else null)
     }
+
+    public companion object {
+        private const val ALWAYS_MS = Long.MIN_VALUE / 2
+
+        /** A process that has just registered has never said anything else, so nobody can believe otherwise. */
+        public fun ofNewProcess(): TablesReach =
+            TablesReach(lastReadOk = true, openWrites = 0, assertedSinceMs = ALWAYS_MS, failures = 0)
+    }
 }
--- /dev/null
+++ b/systemtest/src/test/kotlin/org/medlarhook/systemtest/directory/AuthorityProcessTest.kt
@@ -0,0 +1,119 @@
+package org.medlarhook.systemtest.directory
+
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import org.junit.jupiter.api.AfterEach
+import org.medlarhook.harness.Binaries
+import org.medlarhook.harness.EntryNode
+import org.medlarhook.harness.Fleet
+import org.medlarhook.harness.GrantedKey
+import org.medlarhook.harness.OperatorsCli
+import org.medlarhook.harness.Readiness
+import org.medlarhook.harness.fleetPlan
+import java.io.IOException
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.CompletableFuture
+import kotlin.io.path.listDirectoryEntries
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+/** Keys and authority with real processes that are paused, killed, and cut from the platform. */
+class AuthorityProcessTest {
+    private val root = Path.of("..").toAbsolutePath().normalize()
+    private val binaries = Binaries.under(root)
+    private val fleet = Fleet.start(
+        binaries,
+        fleetPlan {
+            dataCentre("valle-central-1", "valle-central") { entries(3) }
+        },
+    )
+    private val operators = OperatorsCli(binaries, fleet.entries.first().operatorsUrl)
+    private val client = OkHttpClient.Builder().callTimeout(Duration.ofSeconds(30)).build()
+    private val key = prepare()
+
+    private fun prepare(): GrantedKey {
+        fleet.entries.forEach { Readiness.await("${it.operatorsUrl}/readyz") }
+        val overlays = root.resolve("examples/brillo/sites").listDirectoryEntries("*.json").sorted()
+        operators.applyConfig(root.resolve("examples/brillo/base.json"), overlays)
+        val granted = operators.grantKey("franchise-valle-1")
+        Readiness.until("the key does not work") { fleet.entries.all { status(it, granted) == HTTP_OK } }
+        return granted
+    }
+
+    private fun status(entry: EntryNode, key: GrantedKey): Int {
+        val request = Request.Builder().url(
+            "${entry.url}/v1/models",
+        ).header("Authorization", "Bearer ${key.key}").build()
+        return try {
+            client.newCall(request).execute().use { it.code }
+        } catch (_: IOException) {
+            0
+        }
+    }
+
+    private fun setFaults(json: String) {
+        val request = Request.Builder().url("${fleet.platformUrl}/faults").post(json.toRequestBody(JSON)).build()
+        client.newCall(request).execute().use { check(it.isSuccessful) { "status ${it.code}" } }
+    }
+
+    /** Calls all entries for [durationMs] and returns the statuses seen with the time of the last of each. */
+    private fun observe(durationMs: Long): Map<Int, Long> {
+        val startMs = nowMs()
+        val lastMs = mutableMapOf<Int, Long>()
+        while (nowMs() - startMs < durationMs) {
+            fleet.entries.filter { it.process.isAlive }.forEach { lastMs[status(it, key)] = nowMs() - startMs }
+            Thread.sleep(POLL_MS)
+        }
+        return lastMs
+    }
+
+    private fun nowMs() = System.nanoTime() / NANOS_PER_MS
+
+    @AfterEach
+    fun stop() = fleet.close()
+
+    @Test
+    fun `Given a paused entry, then it accepts no key that was withdrawn meanwhile, not even for calls it had queued`() {
+        val paused = fleet.entries.last()
+        paused.process.pause()
+        val queued = List(QUEUED_CALLS) { CompletableFuture.supplyAsync { status(paused, key) } }
+        val outcome = operators.withdrawKey(key.keyId)
+        assertEquals(0, outcome.status, outcome.output)
+        paused.process.resume()
+        val afterwards = List(CALLS) { status(paused, key) }
+        val answers = queued.map { it.join() } + afterwards
+        assertTrue(answers.none { it == HTTP_OK }, "$answers")
+        Readiness.until("the entry does not refuse the key itself") { status(paused, key) == HTTP_UNAUTHORIZED }
+    }
+
+    @Test
+    fun `Given an outage of the platform, then entries serve on, and a killed one makes the others refuse`() {
+        setFaults("""{"unavailable":true}""")
+        val inOutage = observe(OUTAGE_MS)
+        println("outage for all: last time of each status: $inOutage")
+        assertEquals(HTTP_OK, inOutage.maxBy { it.value }.key)
+        assertTrue(inOutage.filterKeys { it != HTTP_OK }.values.all { it < START_OF_OUTAGE_MS }, "$inOutage")
+
+        fleet.entries.last().process.kill()
+        Readiness.until("keyed routes are still served") { status(fleet.entries.first(), key) == HTTP_UNAVAILABLE }
+        setFaults("{}")
+        Readiness.until("keyed routes are not served again") { status(fleet.entries.first(), key) == HTTP_OK }
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_UNAUTHORIZED = 401
+        const val HTTP_UNAVAILABLE = 503
+        const val QUEUED_CALLS = 4
+        const val CALLS = 50
+        const val POLL_MS = 50L
+        const val OUTAGE_MS = 20_000L
+        const val START_OF_OUTAGE_MS = 10_000L
+        const val NANOS_PER_MS = 1_000_000L
+        val JSON = "application/json".toMediaType()
+    }
+}
