Log authority, and call a withdrawal in force as soon as all entries confirm

Cause: an entry noted its own version up to 50 ms after the write, later than the read of the entry table that the status relies on, so that a withdrawal was called in force only after the bound of 5 s. Operators could not see in the log when keyed routes stopped being served. Ruled out: an earlier time for versions learnt from others (it would not be a bound). Change: versions are noted with the event that brings them; events 401, 403 and 404.

--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
@@ -49,7 +49,7 @@
     private val log = DirectoryLog(tables)
     private val guarded = GuardedAppender(log, replica)
     private val compactor = DirectoryCompactor(tables, objects)
-    private val times = VersionTimes()
+    private val events = DirectoryEvents()
     private val ticker = Executors.newSingleThreadScheduledExecutor { Thread(it, "directory-ticker") }
     private val workers = Executors.newFixedThreadPool(WORKER_THREADS) { Thread(it, "directory-worker") }
     private val server: Server =
@@ -66,7 +66,7 @@
     val appender: ChangeAppender get() = guarded
 
     /** How far a version is in force. */
-    val inForce: InForceView = WithdrawalView(times) { replica.state }
+    val inForce: InForceView = WithdrawalView(replica.times) { replica.state }
 
     /** The state for the dump. */
     val dump: StateDump = ReplicaDump(policy) { replica.state }
@@ -94,8 +94,8 @@
     private fun tick() {
         if (!replica.isStarted && !register()) return
         replica.on(ReplicaEvent.Tick)
-        val version = replica.state.directory.version
-        if (version > 0) times.note(version, time.monotonicMs())
+        val state = replica.state
+        events.observe(state.directory.version, policy.decide(state, time.monotonicMs()))
     }
 
     private fun register(): Boolean {
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaRunner.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaRunner.kt
@@ -13,8 +13,8 @@
 import org.medlarhook.platform.TimeSource
 
 /**
- * Holds the replica's state. Events are taken one at a time under [lock], which is held for no call of anything else;
- * readers see the newest state without it.
+ * Holds the replica's state. Events are taken one at a time under [lock]; readers see the newest state without it.
+ * Lock order: [lock], then that of [times]. Actions are performed without a lock.
  */
 internal class ReplicaRunner(
     private val self: EntryRegistration,
@@ -25,6 +25,9 @@
 ) {
     private val lock = Any()
 
+    /** When this entry first had each version. */
+    val times: VersionTimes = VersionTimes()
+
     /** True once the entry is registered. */
     @Volatile
     var isStarted = false
@@ -48,7 +51,7 @@
 
     /** Takes in [event] and has the actions that follow from it performed. */
     fun on(event: ReplicaEvent) {
-        val actions = synchronized(lock) { replica.on(state, event, nowMs()).also { state = it.state }.actions }
+        val actions = synchronized(lock) { take(event, nowMs()) }
         actions.forEach(perform)
     }
 
@@ -61,5 +64,12 @@
             )
         }
 
+    private fun take(event: ReplicaEvent, nowMs: Long): List<ReplicaAction> {
+        val step = replica.on(state, event, nowMs)
+        times.note(step.state.directory.version, nowMs)
+        state = step.state
+        return step.actions
+    }
+
     private fun initialState() = ReplicaState.initial(self, nowMs(), seed = self.entryId.hashCode().toLong())
 }
--- a/entry/src/test/kotlin/org/medlarhook/entry/directory/DirectoryServiceTest.kt
+++ b/entry/src/test/kotlin/org/medlarhook/entry/directory/DirectoryServiceTest.kt
@@ -96,6 +96,10 @@
         assertEquals(null, cut.outcome(), "an entry without tables serves on through its peers")
         assertTrue(writer.append(issued.grant.copy(withdrawn = true)).isRight())
         val withdrawnMs = waitUntil(BOUND_MS) { nodes.all { it.outcome() == ResultCode.KEY_INVALID } }
+        val version = writer.service.view.version
+        val knownMs =
+            waitUntil(BOUND_MS) { writer.service.inForce.inForce(version, SystemTimeSource.monotonicMs()).inForce }
+        println("called in force $knownMs ms later")
         println("withdrawn at all three entries, one without tables, after $withdrawnMs ms")
 
         writer.service.stop()
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -33,5 +33,7 @@
     DRAIN_LIMIT_PASSED(310, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
     ENTRY_REGISTERED(402, "Entry registered"),
+    AUTHORITY_GAINED(403, "Keyed routes are served"),
+    AUTHORITY_LOST(404, "Keyed routes are refused until there is news of the tables"),
     PLATFORM_CALL_FAILED(601, "Call of the platform failed"),
 }
