--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -3,15 +3,12 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.medlarhook.core.directory.DirectoryLog
 import org.medlarhook.core.directory.DirectoryReader
+import org.medlarhook.entry.control.ControlPlane
+import org.medlarhook.entry.control.ControlPlatform
 import org.medlarhook.entry.directory.DirectoryService
-import org.medlarhook.entry.http.CallersListener
-import org.medlarhook.entry.http.ChatHandler
-import org.medlarhook.entry.http.ServiceHandler
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
 import org.medlarhook.entry.operators.OperatorsRoutes
-import org.medlarhook.entry.routing.LeastOutstandingChooser
-import org.medlarhook.entry.upstream.UpstreamPool
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
@@ -30,45 +27,84 @@
 public class Entry(
     private val settings: EntrySettings,
 ) {
+    private val time = SystemTimeSource
     private val platform = PlatformHttp(settings.platform.url, settings.platform.callTimeoutMs)
     private val tables = HttpTableService(platform)
     private val objects = HttpPlatform(platform)
     private val reader = DirectoryReader(tables, objects)
-    private val directoryService =
-        DirectoryService(settings, tables, objects, objects, SystemTimeSource)
-    private val directory = directoryService.view
-    private val pool = UpstreamPool(tables)
-    private val scheduler = Executors.newScheduledThreadPool(2)
+    private val directory = DirectoryService(settings, tables, objects, objects, time)
+    private val control =
+        ControlPlane(
+            entryId = settings.entryId,
+            dataCentre = settings.dataCentre,
+            platform = ControlPlatform(tables, ordering = objects, reporting = objects),
+            time = time,
+        )
+    private val scheduler = Executors.newScheduledThreadPool(SCHEDULER_THREADS)
+    private val requests: RequestPath =
+        RequestPath(
+            settings = settings,
+            tables = tables,
+            objects = objects,
+            directory = directory.view,
+            time = time,
+            scheduler = scheduler,
+            registry = { operators.registry },
+        )
+    private val operators: OperatorsListener =
+        OperatorsListener(
+            address = settings.operators,
+            time = time,
+            isReady = { requests.gate.isReady },
+            dumps = dumps(),
+            routes = operatorsRoutes()::register,
+        )
 
     /** Opens the listeners and follows the tables until the process is stopped. */
     public fun run() {
-        directoryService.start()
-        scheduler.scheduleWithFixedDelay({ pool.poll() }, 0, POLL_MS, TimeUnit.MILLISECONDS)
-        val chat = ChatHandler(directory, pool, LeastOutstandingChooser)
-        val services = ServiceHandler(pool, LeastOutstandingChooser)
-        val callers = CallersListener(settings, SystemTimeSource, directory, chat, services)
-        val operators =
-            OperatorsListener(
-                address = settings.operators,
-                time = SystemTimeSource,
-                isReady = { directoryService.isReady },
-                dumps = dumps(),
-                routes = operatorsRoutes()::register,
-            )
+        directory.start()
         operators.start()
-        callers.start()
+        requests.start(::every)
+        control.start()
+        Runtime.getRuntime().addShutdownHook(Thread(::stop))
         logger.event(LogEvent.PROCESS_STARTED, "role" to "entry", "entry" to settings.entryId)
     }
 
+    private fun stop() {
+        logger.event(LogEvent.DRAIN_STARTED, "open" to requests.open.count)
+        val isFinished = requests.stop()
+        control.stop()
+        directory.stop()
+        scheduler.shutdownNow()
+        operators.stop()
+        logger.event(LogEvent.PROCESS_STOPPED, "finished" to isFinished, "open" to requests.open.count)
+        Runtime.getRuntime().halt(if (isFinished) 0 else EXIT_UNFINISHED)
+    }
+
+    private fun every(intervalMs: Long, task: () -> Unit) {
+        scheduler.scheduleWithFixedDelay(guarded(task), 0, intervalMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** A task that fails must not stop those that follow. */
+    private fun guarded(task: () -> Unit) =
+        Runnable {
+            try {
+                task()
+            } catch (e: RuntimeException) {
+                logger.error(e) { "a periodic task failed" }
+            }
+        }
+
     private fun operatorsRoutes(): OperatorsRoutes {
-        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader), directoryService.appender)
-        return OperatorsRoutes(config, directoryService.inForce, SystemTimeSource)
+        val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader), directory.appender)
+        return OperatorsRoutes(config, directory.inForce, time)
     }
 
     private fun dumps(): Map<String, StateDump> =
-        mapOf("directory" to directoryService.dump)
+        mapOf("directory" to directory.dump, "control" to control.dump()) + requests.dumps()
 
     private companion object {
-        const val POLL_MS = 1_000L
+        const val SCHEDULER_THREADS = 4
+        const val EXIT_UNFINISHED = 1
     }
 }
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
@@ -71,9 +71,6 @@
     /** The state for the dump. */
     val dump: StateDump = ReplicaDump(policy) { replica.state }
 
-    /** True once keyed routes can be served. */
-    val isReady: Boolean get() = replica.isStarted && replica.state.news != null
-
     /** Opens the peers' listener, which is the lock on this address, and then registers and follows the tables. */
     fun start() {
         server.start()
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicatedDirectory.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicatedDirectory.kt
@@ -23,6 +23,9 @@
     override val version: Long
         get() = state().directory.version
 
+    override val isReady: Boolean
+        get() = state().news != null
+
     override fun authenticate(presentedKey: String, nowMs: Long): Either<Failure, Workspace> {
         val current = state()
         return authority(current, nowMs).flatMap { workspaceOf(presentedKey, current) }
