--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -33,6 +33,8 @@
     DRAIN_LIMIT_PASSED(310, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
     ENTRY_REGISTERED(402, "Entry registered"),
+    AUTHORITY_GAINED(403, "Keyed routes are served"),
+    AUTHORITY_LOST(404, "Keyed routes are refused until there is news of the tables"),
     LEASE_TAKEN(501, "Lease taken"),
     LEASE_LOST(502, "Lease lost or handed back"),
     ORDER_ISSUED(503, "Order issued to an upstream"),
