Look after data centres that have upstreams but no entry

Ruled out: one lease for all data centres, as it would make a single brain; every entry watching every data centre, as reads would grow with both.

Change: control is one object a data centre. An entry has its own, and those of data centres without entries, found by one read each; candidates are the entries of the data centre if there are any, else all. Copies are kept under the data centre of the upstream that served, and a shard refuses a source that is not registered in its data centre.

Conclusion: each shard counts its own upstreams only.

--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -46,7 +46,7 @@
     private val registry: () -> MeterRegistry,
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
     private val retryBudget: CallRetryBudget = CallRetryBudget { true },
-    private val keepReceipt: (Receipt) -> Unit = {},
+    private val keepReceipt: (dataCentre: String, receipt: Receipt) -> Unit = { _, _ -> },
 ) {
     private val workers = Executors.newFixedThreadPool(settings.calls.workers)
     private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/EntryMembers.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/EntryMembers.kt
@@ -10,7 +10,6 @@
 /** The registered entries, read now and then. What it says may be old; safety does not depend on it. */
 internal class EntryMembers(
     private val entryId: String,
-    private val dataCentre: String,
     private val tables: TableService,
 ) {
     @Volatile
@@ -24,10 +23,17 @@
         }
     }
 
-    /** Says whether this entry is one of the few that watch [scope]. Without registrations every entry is. */
-    fun isCandidate(scope: LeaseScope): Boolean {
+    /** The data centres that have entries. */
+    fun dataCentres(): Set<String> = members.values.map { it.dataCentre }.toSet()
+
+    /**
+     * Says whether this entry is one of the few that watch [scope], a scope of [dataCentre]. The entries of that data
+     * centre come first; without any, all entries are asked. Without registrations every entry is a candidate.
+     */
+    fun isCandidate(scope: LeaseScope, dataCentre: String): Boolean {
         val near = members.values.filter { it.dataCentre == dataCentre }.map { it.entryId }.toSet()
-        return entryId !in near || LeaseCandidates.isCandidate(scope, entryId, near, CANDIDATES)
+        val asked = near.ifEmpty { members.keys }
+        return asked.isEmpty() || LeaseCandidates.isCandidate(scope, entryId, asked, CANDIDATES)
     }
 
     /** The address of an entry's listener towards its peers, if it is registered. */
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/LeaseLoop.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/LeaseLoop.kt
@@ -8,8 +8,9 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 
-/** Takes, renews and hands back the leases of one entry. */
+/** Takes, renews and hands back the leases of one data centre at one entry. */
 internal class LeaseLoop(
+    private val dataCentre: String,
     private val group: LeaseGroup,
     private val members: EntryMembers,
     private val time: TimeSource,
@@ -20,7 +21,7 @@
     /** Does what is due. A lease that is held is kept even if the entry is no candidate any more. */
     fun run() {
         group.keepers.forEach { (scope, keeper) ->
-            if (keeper.isEngaged() || members.isCandidate(scope)) keeper.run()
+            if (keeper.isEngaged() || members.isCandidate(scope, dataCentre)) keeper.run()
             logChange(scope, keeper.authority())
         }
     }
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptKeepingClient.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptKeepingClient.kt
@@ -13,22 +13,23 @@
 /** Calls sidecars by [target], and hands the receipt of each finished attempt to [keep]. */
 internal class ReceiptKeepingClient(
     private val target: SidecarClient,
-    private val keep: (Receipt) -> Unit,
+    private val keep: (dataCentre: String, receipt: Receipt) -> Unit,
 ) : SidecarClient by target {
     override fun generate(link: UpstreamLink, request: GenerateRequest, listener: GenerateListener): GenerateStream =
-        target.generate(link, request, Listener(listener))
+        target.generate(link, request, Listener(link.registration.dataCentre, listener))
 
     override fun callService(link: UpstreamLink, call: ServiceCall, done: (ServiceAnswer?) -> Unit) =
         target.callService(link, call) { answer ->
-            if (answer != null && answer.hasReceipt()) keep(answer.receipt)
+            if (answer != null && answer.hasReceipt()) keep(link.registration.dataCentre, answer.receipt)
             done(answer)
         }
 
     private inner class Listener(
+        private val dataCentre: String,
         private val next: GenerateListener,
     ) : GenerateListener by next {
         override fun event(event: GenerateEvent) {
-            if (event.hasFinished() && event.finished.hasReceipt()) keep(event.finished.receipt)
+            if (event.hasFinished() && event.finished.hasReceipt()) keep(dataCentre, event.finished.receipt)
             next.event(event)
         }
     }
--- a/entry/src/test/kotlin/org/medlarhook/entry/control/ControlPlaneTest.kt
+++ b/entry/src/test/kotlin/org/medlarhook/entry/control/ControlPlaneTest.kt
@@ -14,6 +14,7 @@
 import org.medlarhook.core.order.OrderAction
 import org.medlarhook.core.order.OrderKey
 import org.medlarhook.core.order.OrderRefusal
+import org.medlarhook.core.usage.UsageRefusal
 import org.medlarhook.core.usage.UsageSettings
 import org.medlarhook.fakes.InMemoryTableService
 import org.medlarhook.platform.SystemTimeSource
@@ -103,10 +104,13 @@
         return plane
     }
 
-    private fun register() {
-        val row = UpstreamRegistration("u1", "vm1", "nord", "r", 1, "127.0.0.1:${server.port}")
+    private fun register(upstreamId: String = "u1", dataCentre: String = "nord") {
+        val row = UpstreamRegistration(upstreamId, "vm1", dataCentre, "r", 1, "127.0.0.1:${server.port}")
         val write =
-            Write(OrderKey("nord", "u1").registrationRow, Json.encodeToString(UpstreamRegistration.serializer(), row))
+            Write(
+                OrderKey(dataCentre, upstreamId).registrationRow,
+                Json.encodeToString(UpstreamRegistration.serializer(), row),
+            )
         tables.transact(Transaction(emptyList(), listOf(write)))
     }
 
@@ -148,7 +152,7 @@
         fun `Given receipts at the sidecar and copies of them, then each is reported once`() {
             register()
             val plane = plane("entry-1")
-            plane.keep(receipt(2))
+            plane.keep("nord", receipt(2))
             eventually { reports.any { it.lines.isNotEmpty() } && pulledAfter.contains(3L) }
             Thread.sleep(2_500)
             val windows = reports.associateBy { it.windowStartMs }.values
@@ -156,6 +160,26 @@
         }
     }
 
+    @Nested
+    inner class OtherDataCentres {
+        @Test
+        fun `Given a data centre with upstreams and no entry, then an entry elsewhere gives it orders`() {
+            register("u2", "sud")
+            val plane = plane("entry-1")
+            eventually { plane.knowsSidecar("u2") }
+            assertNotNull(plane.order("u2", OrderAction.Drain).getOrNull())
+            assertNotNull(tables.read(OrderKey("sud", "u2").orderRow).getOrNull())
+        }
+
+        @Test
+        fun `Given a copy of another data centre's receipt, then this one's shard does not count it`() {
+            val plane = plane("entry-1")
+            eventually { plane.isInCharge }
+            val page = ReceiptsPage.newBuilder().setUpstreamId("u9").setIncarnation(1).addReceipts(receipt(1))
+            assertIs<UsageRefusal.NotInCharge>(plane.accept(page.build()).leftOrNull())
+        }
+    }
+
     @Nested
     inner class Succession {
         @Test
