--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -32,6 +32,7 @@
 import org.medlarhook.protocol.Receipt
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 
@@ -44,6 +45,7 @@
     private val time: TimeSource,
     private val scheduler: ScheduledExecutorService,
     private val registry: () -> MeterRegistry,
+    traffic: ControlTraffic = ControlTraffic(registry()),
     private val chooser: UpstreamChooser = LeastOutstandingChooser,
     private val retryBudget: CallRetryBudget = CallRetryBudget { true },
     private val keepReceipt: (dataCentre: String, receipt: Receipt) -> Unit = { _, _ -> },
@@ -57,14 +59,14 @@
     val open = OpenRequests()
 
     /** Whether requests are taken. */
-    val gate = Gate { directory.version > 0 }
+    val gate = Gate { directory.isReady }
 
     /** The upstreams. */
     val pool =
         UpstreamPool(
             entryId = settings.entryId,
             tables = tables,
-            channels = PlainChannelFactory(workers),
+            channels = PlainChannelFactory(workers, traffic.clientInterceptor),
             time = time,
             heartbeatTimeoutMs = settings.calls.heartbeatTimeoutMs,
         )
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.intent.IntentProposal
@@ -22,6 +23,7 @@
 import org.medlarhook.protocol.ReceiptsAck
 import org.medlarhook.protocol.ReceiptsPage
 import org.medlarhook.runtime.operators.StateDump
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.UUID
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
@@ -39,6 +41,7 @@
     private val time: TimeSource,
     private val usageSettings: UsageSettings = UsageSettings(),
     private val leaseSettings: LeaseSettings = LeaseSettings(),
+    private val traffic: ControlTraffic = ControlTraffic(SimpleMeterRegistry()),
 ) {
     private val logger = KotlinLogging.logger {}
     private val holder = entryId + ReceiptCopies.HOLDER_SEPARATOR + UUID.randomUUID()
@@ -115,7 +118,16 @@
     }
 
     private fun newControl(name: String): DataCentreControl =
-        DataCentreControl(name, holder, platform, members, time, usageSettings, leaseSettings)
+        DataCentreControl(
+            dataCentre = name,
+            holder = holder,
+            platform = platform,
+            members = members,
+            time = time,
+            usageSettings = usageSettings,
+            leaseSettings = leaseSettings,
+            interceptor = traffic.clientInterceptor,
+        )
 
     private fun newCopies(name: String): ReceiptCopies =
         ReceiptCopies(LeaseScope.usage(name), platform.tables, members) { source, receipts ->
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/DataCentreControl.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/DataCentreControl.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.left
+import io.grpc.ClientInterceptor
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.intent.IntentRunner
@@ -26,6 +27,7 @@
     time: TimeSource,
     usageSettings: UsageSettings,
     leaseSettings: LeaseSettings,
+    interceptor: ClientInterceptor,
 ) {
     private val upstreams = LeaseScope.upstreams(dataCentre)
     private val usage = LeaseScope.usage(dataCentre)
@@ -35,7 +37,7 @@
     private val collector = UsageCollector(dataCentre, usageSettings, tables, platform.reporting, time)
 
     /** The sidecars, while this entry holds one of the leases. */
-    val channels = SidecarChannels(dataCentre, tables)
+    val channels = SidecarChannels(dataCentre, tables, interceptor)
 
     /** Orders to upstreams. */
     val orders = OrderService(OrderIssuer(dataCentre, tables, time), channels) { leases.authority(upstreams) }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -31,6 +31,7 @@
     RECEIPT_DROPPED(308, "A receipt that no collector had taken was dropped"),
     DRAIN_LIMIT_PASSED(309, "Attempts still ran when the limit of the graceful shutdown passed"),
     DIRECTORY_ADVANCED(401, "Directory advanced"),
+    ENTRY_REGISTERED(402, "Entry registered"),
     LEASE_TAKEN(501, "Lease taken"),
     LEASE_LOST(502, "Lease lost or handed back"),
     ORDER_ISSUED(503, "Order issued to an upstream"),
