--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -57,7 +57,7 @@
     private val registry: () -> MeterRegistry,
     traffic: ControlTraffic = ControlTraffic(registry()),
     private val retryBudget: CallRetryBudget = SharedRetryBudget(RetryBudget(settings.routing.retryRatio)),
-    private val keepReceipt: (Receipt) -> Unit = {},
+    private val keepReceipt: (dataCentre: String, receipt: Receipt) -> Unit = { _, _ -> },
 ) {
     private val loads = UpstreamLoads(settings.routing.defaultSpeed())
     private val workers = NioEventLoopGroup(settings.calls.workers)
