Choose upstreams by the routing policy of the settings

Cause: entries took the upstream with the fewest own requests, whatever the work, and admitted everything. Ruled out: refusing at the entry what the longest possible output can't finish in time (two tests of the entry showed that it refuses requests that end early; only waiting counts now, the sidecar judges length).

--- a/core/src/main/kotlin/org/medlarhook/core/routing/RoutingPolicyName.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/routing/RoutingPolicyName.kt
@@ -1,15 +1,23 @@
 package org.medlarhook.core.routing
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
 import kotlin.random.Random
 
 /** The routing policies by the names that settings use. */
-public enum class RoutingPolicyName(
-    public val settingsName: String,
-) {
-    TOKEN_WORK("token-work"),
-    ROUND_ROBIN("round-robin"),
-    LEAST_OUTSTANDING("least-outstanding"),
-    TWO_CHOICES("two-choices"),
+@Serializable
+public enum class RoutingPolicyName {
+    @SerialName("token-work")
+    TOKEN_WORK,
+
+    @SerialName("round-robin")
+    ROUND_ROBIN,
+
+    @SerialName("least-outstanding")
+    LEAST_OUTSTANDING,
+
+    @SerialName("two-choices")
+    TWO_CHOICES,
     ;
 
     /** Makes the policy; [localRegion] is the region of the entry. */
@@ -20,9 +28,4 @@
             LEAST_OUTSTANDING -> LeastOutstandingPolicy()
             TWO_CHOICES -> TwoChoicesPolicy(random)
         }
-
-    public companion object {
-        /** Finds a policy by its name in settings. */
-        public fun of(settingsName: String): RoutingPolicyName? = entries.find { it.settingsName == settingsName }
-    }
 }
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -4,7 +4,10 @@
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import org.medlarhook.core.admission.AdmitAll
+import org.medlarhook.core.admission.DeadlineAdmission
 import org.medlarhook.core.call.CallRetryBudget
+import org.medlarhook.core.routing.EngineSpeed
 import org.medlarhook.entry.call.CallMetrics
 import org.medlarhook.entry.call.CallServices
 import org.medlarhook.entry.call.OpenRequests
@@ -19,9 +22,13 @@
 import org.medlarhook.entry.http.ModelsHandler
 import org.medlarhook.entry.http.Outcomes
 import org.medlarhook.entry.http.ServiceHandler
-import org.medlarhook.entry.routing.LeastOutstandingChooser
+import org.medlarhook.entry.routing.LoadWatchListener
+import org.medlarhook.entry.routing.PolicyChooser
+import org.medlarhook.entry.routing.RatioRetryBudget
 import org.medlarhook.entry.routing.UpstreamChooser
+import org.medlarhook.entry.routing.UpstreamLoads
 import org.medlarhook.entry.upstream.GrpcSidecarClient
+import org.medlarhook.entry.upstream.LoggedWatchListener
 import org.medlarhook.entry.upstream.PlainChannelFactory
 import org.medlarhook.entry.upstream.UpstreamLink
 import org.medlarhook.entry.upstream.UpstreamPool
@@ -30,8 +37,10 @@
 import org.medlarhook.platform.TimeSource
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
+import org.medlarhook.runtime.settings.RoutingSettings
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
+import kotlin.random.Random
 
 /** The parts that take a request from a caller to an upstream and back. */
 internal class RequestPath(
@@ -42,9 +51,9 @@
     private val time: TimeSource,
     private val scheduler: ScheduledExecutorService,
     private val registry: () -> MeterRegistry,
-    private val chooser: UpstreamChooser = LeastOutstandingChooser,
-    private val retryBudget: CallRetryBudget = CallRetryBudget { true },
+    private val retryBudget: CallRetryBudget = RatioRetryBudget(settings.routing.retryRatio),
 ) {
+    private val loads = UpstreamLoads(settings.routing.defaultSpeed())
     private val workers = Executors.newFixedThreadPool(settings.calls.workers)
     private val codec = ClaimCodec(objects, settings.claims.maxInlineBodyBytes)
     private val claims = GroupedClaimStore(tables, codec, time, settings.claims)
@@ -64,6 +73,7 @@
             channels = PlainChannelFactory(workers),
             time = time,
             heartbeatTimeoutMs = settings.calls.heartbeatTimeoutMs,
+            listener = LoadWatchListener(loads, time, LoggedWatchListener),
         )
 
     private val listener: CallersListener by lazy { callersListener() }
@@ -105,7 +115,8 @@
             CallServices(
                 directory = directory,
                 pool = pool,
-                chooser = chooser,
+                chooser = chooser(),
+                loads = loads,
                 client = GrpcSidecarClient(),
                 claims = claims,
                 retryBudget = retryBudget,
@@ -126,6 +137,15 @@
         return CallersListener(settings, time, scheduler, gate, handlers)
     }
 
+    private fun chooser(): UpstreamChooser {
+        val routing = settings.routing
+        val admission = if (routing.admission) DeadlineAdmission(routing.admissionSlack) else AdmitAll
+        val policy = routing.policy.create(Random(settings.entryId.hashCode()), settings.region)
+        return PolicyChooser(policy, admission, loads, settings.region, routing)
+    }
+
+    private fun RoutingSettings.defaultSpeed() = EngineSpeed(prefillTokensPerS, decodeTokensPerS, slots)
+
     private fun dump(link: UpstreamLink): JsonObject =
         JsonObject(
             mapOf(
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/CallServices.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/CallServices.kt
@@ -7,6 +7,7 @@
 import org.medlarhook.entry.claim.ClaimStore
 import org.medlarhook.entry.directory.DirectoryView
 import org.medlarhook.entry.routing.UpstreamChooser
+import org.medlarhook.entry.routing.UpstreamLoads
 import org.medlarhook.entry.upstream.SidecarClient
 import org.medlarhook.entry.upstream.UpstreamPool
 import org.medlarhook.platform.TimeSource
@@ -17,6 +18,7 @@
     val directory: DirectoryView,
     val pool: UpstreamPool,
     val chooser: UpstreamChooser,
+    val loads: UpstreamLoads,
     val client: SidecarClient,
     val claims: ClaimStore,
     val retryBudget: CallRetryBudget,
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationCall.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationCall.kt
@@ -9,6 +9,8 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
+import org.medlarhook.entry.routing.RouteRequests
+import org.medlarhook.entry.routing.UpstreamLoads
 import org.medlarhook.entry.upstream.UpstreamLink
 
 /** Carries out what the machine decides for one generation. Events are handled one at a time and never block. */
@@ -20,13 +22,15 @@
     private val ended: (Failure?) -> Unit,
 ) : OpenRequest {
     private val mailbox = Mailbox(::handle)
-    private val candidates = AttemptChooser(services) { services.pool.forModel(job.model) }
+    private val candidates =
+        AttemptChooser(services, { RouteRequests.of(job, info, it) }) { services.pool.forModel(job.model) }
     private val keyCheck = KeyCheck(services.directory, info, services.settings.keyCheckMs)
     private var step: GenerationStep = services.generationMachine.start(info.deadlineAtMs)
 
     @Volatile
     private var running: GenerationAttempt? = null
     private var link: UpstreamLink? = null
+    private var work: UpstreamLoads.InFlightWork? = null
     private var promptTokens = job.promptTokens.toLong()
     private var heartbeatAtMs = info.startedAtMs
 
@@ -89,10 +93,31 @@
 
     private fun advance(event: GenerationEvent, nowMs: Long) {
         if (step.state.phase == GenerationPhase.Ended) return
+        observe(event, nowMs)
         step = services.generationMachine.step(step.state, event, nowMs)
         carryOut(step.actions)
     }
 
+    /** Tells the routing how the present attempt fares. */
+    private fun observe(event: GenerationEvent, nowMs: Long) {
+        val attempt = running ?: return
+        val upstreamId = attempt.link.registration.upstreamId
+        when {
+            event is GenerationEvent.TokensArrived && event.attemptId == attempt.id -> work?.prefilled()
+            event is GenerationEvent.Completed && event.attemptId == attempt.id ->
+                services.loads.succeeded(upstreamId, nowMs)
+            event.isFailureOf(attempt.id) -> services.loads.failed(upstreamId, services.pool.links().size, nowMs)
+        }
+    }
+
+    private fun GenerationEvent.isFailureOf(attemptId: String): Boolean =
+        (this is GenerationEvent.Broken && this.attemptId == attemptId) ||
+            (
+                this is GenerationEvent.Refused &&
+                    this.attemptId == attemptId &&
+                    failure.code == ResultCode.UPSTREAM_FAILED
+            )
+
     /** A sidecar that answers on the same connection, or a caller that is slow, is no silent connection. */
     private fun checkTime(nowMs: Long) {
         val attempt = running
@@ -141,6 +166,7 @@
             return
         }
         target.outstanding.incrementAndGet()
+        work = services.loads.started(target.registration.upstreamId, RouteRequests.work(job))
         val attempt = GenerationAttempt(id, target, sink, ::post) { promptTokens = it }
         running = attempt
         attempt.start(services.client, GenerateRequests.of(info, job, action))
@@ -172,6 +198,8 @@
     private fun release(): GenerationAttempt? {
         val attempt = running ?: return null
         running = null
+        work?.ended()
+        work = null
         attempt.link.outstanding.decrementAndGet()
         return attempt
     }
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/PlainServiceCall.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/PlainServiceCall.kt
@@ -7,7 +7,9 @@
 import org.medlarhook.core.claim.OncePhase
 import org.medlarhook.core.claim.OnceStep
 import org.medlarhook.core.claim.SealResult
+import org.medlarhook.core.routing.WorkTokens
 import org.medlarhook.entry.claim.ClaimReadResult
+import org.medlarhook.entry.routing.RouteRequests
 import org.medlarhook.entry.upstream.UpstreamLink
 import org.medlarhook.entry.upstream.toCallAnswer
 import org.medlarhook.entry.upstream.toFailure
@@ -24,7 +26,8 @@
     private val listener: ServiceCallListener,
 ) : OpenRequest {
     private val mailbox = Mailbox(::handle)
-    private val candidates = AttemptChooser(services) { services.pool.forService(job.service) }
+    private val candidates =
+        AttemptChooser(services, { RouteRequests.of(job, info, it) }) { services.pool.forService(job.service) }
     private var step: OnceStep = services.onceMachine.start(job.once)
     private var link: UpstreamLink? = null
 
@@ -117,8 +120,10 @@
             return
         }
         target.outstanding.incrementAndGet()
+        val work = services.loads.started(target.registration.upstreamId, WorkTokens.NONE)
         services.client.callService(target, job.message(info, action.attempt, action.remainingMs)) { answer ->
             target.outstanding.decrementAndGet()
+            work.ended()
             post(answer.toEvent(id))
         }
     }
--- /dev/null
+++ b/entry/src/main/kotlin/org/medlarhook/entry/routing/LoadWatchListener.kt
@@ -0,0 +1,20 @@
+package org.medlarhook.entry.routing
+
+import org.medlarhook.entry.upstream.UpstreamLink
+import org.medlarhook.entry.upstream.WatchListener
+import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.UpstreamStatus
+
+/** Takes the load out of each status before it goes on to [next]. */
+internal class LoadWatchListener(
+    private val loads: UpstreamLoads,
+    private val time: TimeSource,
+    private val next: WatchListener,
+) : WatchListener {
+    override fun changed(link: UpstreamLink, before: UpstreamStatus?, status: UpstreamStatus) {
+        if (status.hasLoad()) loads.reported(link.registration.upstreamId, status.load, time.monotonicMs())
+        next.changed(link, before, status)
+    }
+
+    override fun lost(link: UpstreamLink) = next.lost(link)
+}
--- a/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
@@ -6,6 +6,7 @@
 import org.medlarhook.runtime.settings.EntrySettings
 import org.medlarhook.runtime.settings.ListenAddress
 import org.medlarhook.runtime.settings.PlatformSettings
+import org.medlarhook.runtime.settings.RoutingSettings
 import org.medlarhook.runtime.settings.ServiceSettings
 import org.medlarhook.runtime.settings.SidecarSettings
 import java.nio.file.Files
@@ -17,6 +18,7 @@
 public class Fleet private constructor(
     private val binaries: Binaries,
     private val directory: Path,
+    private val routing: RoutingSettings,
 ) : AutoCloseable {
     private val platformPort = FreePorts.next()
     private val processes = CopyOnWriteArrayList<ManagedProcess>()
@@ -47,6 +49,7 @@
                 operators = listen(),
                 peers = listen(),
                 platform = PlatformSettings(platformUrl),
+                routing = routing,
             )
         val node = EntryNode(settings, launchRole("entry", id, settings, EntrySettings.serializer()))
         entries += node
@@ -150,8 +153,8 @@
         private val JSON = Json { prettyPrint = true }
 
         /** Starts the processes of [plan]; logs and settings go to a new temporary directory. */
-        public fun start(binaries: Binaries, plan: FleetPlan): Fleet {
-            val fleet = Fleet(binaries, Files.createTempDirectory("medlarhook-fleet"))
+        public fun start(binaries: Binaries, plan: FleetPlan, routing: RoutingSettings = RoutingSettings()): Fleet {
+            val fleet = Fleet(binaries, Files.createTempDirectory("medlarhook-fleet"), routing)
             fleet.startPlatform()
             fleet.startAll(plan)
             return fleet
--- a/harness/src/main/kotlin/org/medlarhook/harness/demo/Main.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/demo/Main.kt
@@ -1,10 +1,14 @@
 package org.medlarhook.harness.demo
 
+import org.medlarhook.core.routing.RoutingPolicyName
 import org.medlarhook.harness.Binaries
 import org.medlarhook.harness.bench.RelayBench
+import org.medlarhook.harness.load.LoadFleet
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
+private const val LOAD_FLEET = "--load-fleet"
+private const val NO_ADMISSION = "--no-admission"
 private val RELAY_BENCH = listOf("--bench", "relay")
 
 /** Starts a small fleet, runs real traffic through it, and prints a line for each step; or measures one entry. */
@@ -14,6 +18,10 @@
         RelayBench(Binaries.under(root), root.resolve("examples/brillo")).run()
         exitProcess(0)
     }
+    if (args.firstOrNull() == LOAD_FLEET) {
+        val policy = RoutingPolicyName.valueOf(args[1].uppercase().replace('-', '_'))
+        LoadFleet(Binaries.under(root), root.resolve("examples/consortium")).run(policy, NO_ADMISSION !in args)
+    }
     val demo = Demo(Binaries.under(root), root.resolve("examples/brillo"), keep = "--keep" in args)
     exitProcess(if (demo.run()) 0 else 1)
 }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -12,6 +12,7 @@
  * @property calls attempts, timeouts and buffers.
  * @property claims recording of idempotency keys.
  * @property shutdown the graceful shutdown.
+ * @property routing the choice of upstreams.
  */
 @Serializable
 public data class EntrySettings(
@@ -27,6 +28,7 @@
     val calls: CallSettings = CallSettings(),
     val claims: ClaimSettings = ClaimSettings(),
     val shutdown: ShutdownSettings = ShutdownSettings(),
+    val routing: RoutingSettings = RoutingSettings(),
 )
 
 /** Host and port to listen on. */
