--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -14,6 +14,7 @@
 import org.medlarhook.entry.claim.ClaimCleaner
 import org.medlarhook.entry.claim.ClaimCodec
 import org.medlarhook.entry.claim.GroupedClaimStore
+import org.medlarhook.entry.control.ReceiptKeepingClient
 import org.medlarhook.entry.directory.DirectoryView
 import org.medlarhook.entry.http.Callers
 import org.medlarhook.entry.http.CallersListener
@@ -35,9 +36,11 @@
 import org.medlarhook.platform.ObjectStore
 import org.medlarhook.platform.TableService
 import org.medlarhook.platform.TimeSource
+import org.medlarhook.protocol.Receipt
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
 import org.medlarhook.runtime.settings.RoutingSettings
+import org.medlarhook.runtime.traffic.ControlTraffic
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 import kotlin.random.Random
@@ -51,7 +54,9 @@
     private val time: TimeSource,
     private val scheduler: ScheduledExecutorService,
     private val registry: () -> MeterRegistry,
+    traffic: ControlTraffic = ControlTraffic(registry()),
     private val retryBudget: CallRetryBudget = RatioRetryBudget(settings.routing.retryRatio),
+    private val keepReceipt: (Receipt) -> Unit = {},
 ) {
     private val loads = UpstreamLoads(settings.routing.defaultSpeed())
     private val workers = Executors.newFixedThreadPool(settings.calls.workers)
@@ -63,14 +68,14 @@
     val open = OpenRequests()
 
     /** Whether requests are taken. */
-    val gate = Gate { directory.version > 0 }
+    val gate = Gate { directory.isReady }
 
     /** The upstreams. */
     val pool =
         UpstreamPool(
             entryId = settings.entryId,
             tables = tables,
-            channels = PlainChannelFactory(workers),
+            channels = PlainChannelFactory(workers, traffic.clientInterceptor),
             time = time,
             heartbeatTimeoutMs = settings.calls.heartbeatTimeoutMs,
             listener = LoadWatchListener(loads, time, LoggedWatchListener),
@@ -117,7 +122,7 @@
                 pool = pool,
                 chooser = chooser(),
                 loads = loads,
-                client = GrpcSidecarClient(),
+                client = ReceiptKeepingClient(GrpcSidecarClient(), keepReceipt),
                 claims = claims,
                 retryBudget = retryBudget,
                 time = time,
--- a/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
+import org.medlarhook.platform.ListedVm
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.runtime.settings.EntrySettings
 import org.medlarhook.runtime.settings.ListenAddress
@@ -26,6 +27,9 @@
     /** The platform's base address. */
     public val platformUrl: String = url(platformPort)
 
+    /** The platform's VM list. */
+    public val vms: VmList = VmList(platformUrl)
+
     /** The platform's stand-in. */
     public lateinit var platform: ManagedProcess
         private set
@@ -51,13 +55,19 @@
                 platform = PlatformSettings(platformUrl),
                 routing = routing,
             )
+        vms.put(ListedVm(settings.vmId, dataCentre, leaving = false))
         val node = EntryNode(settings, launchRole("entry", id, settings, EntrySettings.serializer()))
         entries += node
         return node
     }
 
-    /** Starts an engine with its sidecar. */
-    public fun startEngine(dataCentre: String, region: String, plan: EnginePlan): UpstreamNode {
+    /** Starts an engine with its sidecar, whose settings [configure] may change. */
+    public fun startEngine(
+        dataCentre: String,
+        region: String,
+        plan: EnginePlan,
+        configure: (SidecarSettings) -> SidecarSettings = { it },
+    ): UpstreamNode {
         val id = "upstream-${upstreams.size + 1}"
         val port = FreePorts.next()
         val engine =
@@ -81,19 +91,32 @@
                 prefillTokensPerS = plan.prefillTokensPerS,
                 decodeTokensPerS = plan.decodeTokensPerS,
             )
-        return startSidecar(id, dataCentre, region, engine, url(port)) { it.copy(engine = settings) }
+        return startSidecar(id, dataCentre, region, engine, url(port)) {
+            configure(it.copy(engine = settings))
+        }
     }
 
-    /** Starts a booking service with its sidecar. */
-    public fun startService(dataCentre: String, region: String, service: String): UpstreamNode {
+    /** Starts a booking service with its sidecar, whose settings [configure] may change. */
+    public fun startService(
+        dataCentre: String,
+        region: String,
+        service: String,
+        configure: (SidecarSettings) -> SidecarSettings = { it },
+    ): UpstreamNode {
         val id = "upstream-${upstreams.size + 1}"
         val port = FreePorts.next()
         val command = listOf(binaries.standIns.toString(), "service", "--port=$port")
         val process = launch("$id-service", command)
         val settings = ServiceSettings(url(port), listOf(service))
-        return startSidecar(id, dataCentre, region, process, url(port)) { it.copy(service = settings) }
+        return startSidecar(id, dataCentre, region, process, url(port)) {
+            configure(it.copy(service = settings))
+        }
     }
 
+    /** Starts one more sidecar process with the settings of [node], as after a restart. */
+    public fun startSidecarAgain(node: UpstreamNode): ManagedProcess =
+        launchRole("sidecar", node.settings.upstreamId, node.settings, SidecarSettings.serializer())
+
     /** Stops all processes that run. */
     override fun close() {
         processes.reversed().forEach { it.resume() }
@@ -132,6 +155,7 @@
                 platform = PlatformSettings(platformUrl),
             )
         val settings = configure(base)
+        vms.put(ListedVm(settings.vmId, dataCentre, leaving = false))
         val sidecar = launchRole("sidecar", id, settings, SidecarSettings.serializer())
         return UpstreamNode(settings, sidecar, backend, backendUrl).also { upstreams += it }
     }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -29,6 +29,7 @@
     val claims: ClaimSettings = ClaimSettings(),
     val shutdown: ShutdownSettings = ShutdownSettings(),
     val routing: RoutingSettings = RoutingSettings(),
+    val directory: DirectorySettings = DirectorySettings(),
 )
 
 /** Host and port to listen on. */
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.sidecar.status
 
 import org.medlarhook.core.attempt.SchedulerLoad
+import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.protocol.LoadedModel
 import org.medlarhook.protocol.UpstreamRole
 import org.medlarhook.protocol.UpstreamStatus
@@ -24,12 +25,16 @@
     @Volatile
     var isHealthy = false
 
+    /** True while an order keeps new work out. */
+    @Volatile
+    var isClosedByOrder = false
+
     /** What orders have made of the upstream. */
     @Volatile
     var reported = initialState()
 
     /** True while attempts are taken. */
-    val isAccepting: Boolean get() = incarnation != null && !isDraining && isHealthy
+    val isAccepting: Boolean get() = incarnation != null && !isDraining && isHealthy && !isClosedByOrder
 
     /** The message to entries. */
     fun toMessage(): UpstreamStatus {
@@ -41,10 +46,11 @@
                 .setIncarnation(incarnation ?: 0)
                 .setRole(present.role)
                 .setAccepting(isAccepting)
-                .setDraining(isDraining)
+                .setDraining(isDraining || isClosedByOrder)
                 .addAllModels(present.models.map { it.toMessage() })
                 .addAllServices(settings.service?.names.orEmpty())
                 .setOrderGeneration(present.orderGeneration)
+                .setSentAtMs(SystemTimeSource.monotonicMs())
         load()?.let { status.setLoad(it.toMessage()) }
         return status.build()
     }
