--- a/core/src/main/kotlin/org/medlarhook/core/routing/RoutingPolicyName.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/routing/RoutingPolicyName.kt
@@ -6,6 +6,7 @@
 
 /** The routing policies by the names that settings use. */
 @Serializable
+@SerialName("routing-policy")
 public enum class RoutingPolicyName {
     @SerialName("token-work")
     TOKEN_WORK,
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -28,6 +28,7 @@
     val calls: CallSettings = CallSettings(),
     val claims: ClaimSettings = ClaimSettings(),
     val shutdown: ShutdownSettings = ShutdownSettings(),
+    val routing: RoutingSettings = RoutingSettings(),
     val directory: DirectorySettings = DirectorySettings(),
     val routing: RoutingSettings = RoutingSettings(),
 )
