--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/EntrySettings.kt
@@ -28,7 +28,6 @@
     val calls: CallSettings = CallSettings(),
     val claims: ClaimSettings = ClaimSettings(),
     val shutdown: ShutdownSettings = ShutdownSettings(),
-    val routing: RoutingSettings = RoutingSettings(),
     val directory: DirectorySettings = DirectorySettings(),
     val routing: RoutingSettings = RoutingSettings(),
 )
