--- a/systemtest/src/test/kotlin/org/medlarhook/systemtest/directory/AuthorityProcessTest.kt
+++ b/systemtest/src/test/kotlin/org/medlarhook/systemtest/directory/AuthorityProcessTest.kt
@@ -77,7 +77,7 @@
     fun stop() = fleet.close()
 
     @Test
-    fun `Given a paused entry, then it accepts no key that was withdrawn meanwhile, not even for calls it had queued`() {
+    fun `Given a paused entry, then it accepts no key withdrawn meanwhile, not even for calls it had queued`() {
         val paused = fleet.entries.last()
         paused.process.pause()
         val queued = List(QUEUED_CALLS) { CompletableFuture.supplyAsync { status(paused, key) } }
