Log retried attempts and take the relay's figures with batched tokens

Cause: a retried attempt left no line in the log, and the relay's figures were from before sidecars batch tokens.

--- a/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationCall.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/GenerationCall.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.entry.call
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.call.GenerationAction
@@ -10,6 +11,10 @@
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
 import org.medlarhook.entry.upstream.UpstreamLink
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
+
+private val logger = KotlinLogging.logger {}
 
 /** Carries out what the machine decides for one generation. Events are handled one at a time and never block. */
 internal class GenerationCall(
@@ -122,6 +127,7 @@
     }
 
     private fun choose(action: GenerationAction.Choose) {
+        if (action.isRetry) logRetry()
         release()
         candidates.choose(action.excludedUpstreams, action.isRetry).fold(
             ifLeft = { post(GenerationEvent.NotChosen(it)) },
@@ -176,6 +182,11 @@
         return attempt
     }
 
+    private fun logRetry() {
+        val code = step.state.lastFailure?.code?.number
+        logger.warnEvent(LogEvent.ATTEMPT_FAILED, "kind" to KIND, "request" to info.requestId, "code" to code)
+    }
+
     companion object {
         /** The name of the kind in metrics and dumps. */
         const val KIND = "generation"
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/PlainServiceCall.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/PlainServiceCall.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.entry.call
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import org.medlarhook.core.claim.OnceAction
@@ -12,6 +13,10 @@
 import org.medlarhook.entry.upstream.toCallAnswer
 import org.medlarhook.entry.upstream.toFailure
 import org.medlarhook.protocol.ServiceAnswer
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
+
+private val logger = KotlinLogging.logger {}
 
 /**
  * Carries out what the machine decides for one call of a plain service. The call goes on after its caller has left, so
@@ -91,6 +96,7 @@
     }
 
     private fun choose(action: OnceAction.Choose) {
+        if (action.isRetry) logRetry()
         candidates.choose(action.excludedUpstreams, action.isRetry).fold(
             ifLeft = { post(OnceEvent.NotChosen(it)) },
             ifRight = { chosen ->
@@ -143,6 +149,11 @@
         }
     }
 
+    private fun logRetry() {
+        val code = step.state.lastFailure?.code?.number
+        logger.warnEvent(LogEvent.ATTEMPT_FAILED, "kind" to KIND, "request" to info.requestId, "code" to code)
+    }
+
     companion object {
         /** The name of the kind in metrics and dumps. */
         const val KIND = "service"
--- a/harness/src/main/kotlin/org/medlarhook/harness/bench/RelayBench.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/bench/RelayBench.kt
@@ -23,6 +23,7 @@
             Readiness.await("${entry.operatorsUrl}/healthz")
             val operators = OperatorsCli(binaries, entry.operatorsUrl)
             val overlays = configuration.resolve("sites").listDirectoryEntries("*.json").sorted()
+            Thread.sleep(WRITE_PERMIT_WAIT_MS)
             operators.applyConfig(configuration.resolve("base.json"), overlays)
             val caller = BenchCaller(entry.url, operators.grantKey(WORKSPACE).key, MODEL)
             fleet.upstreams.forEach { it.awaitReady() }
@@ -100,6 +101,7 @@
         const val STREAMS = 64
         const val STREAM_TOKENS = 1_000
         const val ROUNDS = 3
+        const val WRITE_PERMIT_WAIT_MS = 5_000L
         const val NANOS_PER_S = 1_000_000_000L
         const val NANOS_PER_US = 1_000L
         val PLAN =
