--- a/entry/src/main/kotlin/org/medlarhook/entry/call/SharedRetryBudget.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/SharedRetryBudget.kt
@@ -6,7 +6,7 @@
 
 /** One retry budget for all requests of the entry, so that a failure does not multiply the load. */
 internal class SharedRetryBudget(
-    initial: RetryBudget = RetryBudget(),
+    initial: RetryBudget,
 ) : CallRetryBudget {
     private val budget = AtomicReference(initial)
 
