--- a/cli/src/main/kotlin/org/medlarhook/cli/client/OperatorsClient.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/client/OperatorsClient.kt
@@ -60,7 +60,7 @@
     }
 
     fun withdrawKey(keyId: String, author: String): Either<CallFailure, ChangeAnswer> =
-        request("/operators/keys/$keyId?author=$author") { it.delete() }.decoded(ChangeAnswer.serializer())
+        repeated { request("/operators/keys/$keyId?author=$author") { it.delete() } }.decoded(ChangeAnswer.serializer())
 
     /** Returns the state dump as JSON text. */
     fun state(): Either<CallFailure, String> = request("/state") { it }
@@ -72,7 +72,18 @@
         request(path) { it }.decoded(serializer)
 
     private fun <T> post(path: String, body: String, serializer: KSerializer<T>): Either<CallFailure, T> =
-        request(path) { it.post(body.toRequestBody(JSON_TYPE)) }.decoded(serializer)
+        repeated { request(path) { it.post(body.toRequestBody(JSON_TYPE)) } }.decoded(serializer)
+
+    /** Repeats a call while its answer says that the platform was not reached and nothing was changed. */
+    private fun <T> repeated(call: () -> Either<CallFailure, T>): Either<CallFailure, T> {
+        val endNanos = System.nanoTime() + REPEAT_LIMIT_NANOS
+        while (true) {
+            val result = call()
+            val isUnchanged = (result.leftOrNull() as? CallFailure.Refused)?.problem?.code == UNCHANGED_CODE
+            if (!isUnchanged || System.nanoTime() > endNanos) return result
+            Thread.sleep(REPEAT_PAUSE_MS)
+        }
+    }
 
     private fun request(path: String, configure: (Request.Builder) -> Request.Builder): Either<CallFailure, String> {
         val url =
@@ -100,6 +111,9 @@
 
     private companion object {
         const val CALL_TIMEOUT_MS = 15_000L
+        const val REPEAT_LIMIT_NANOS = 10_000_000_000L
+        const val REPEAT_PAUSE_MS = 300L
+        val UNCHANGED_CODE = ResultCode.PLATFORM_UNAVAILABLE.number
         val JSON = Json { ignoreUnknownKeys = true }
         val JSON_TYPE = "application/json".toMediaType()
     }
--- a/harness/src/main/kotlin/org/medlarhook/harness/capacity/CapacityLoad.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/capacity/CapacityLoad.kt
@@ -26,7 +26,7 @@
     fun seed(count: Int) {
         val routes = listOf(ServiceRoute("/", open = true, idempotent = true))
         change(listOf(ServiceDeclaration(CapacityDimension.SERVICE, routes)))
-        (1..count).chunked(WORKSPACES_PER_CHANGE).forEach { numbers ->
+        (1..count).chunked(WORKSPACES_PER_CHANGE).toList().forEach { numbers ->
             val workspaces = numbers.map { Workspace("workspace-$it") }
             change(workspaces + workspaces.map { issuer.issue(it.name).grant })
         }
@@ -44,15 +44,26 @@
             request,
         ).toRequestBody("application/json".toMediaType())
         val call = Request.Builder().url("$operatorsUrl/operators/config/changes").post(body).build()
+        var text = send(call)
+        while (text == null) {
+            Thread.sleep(PAUSE_MS)
+            text = send(call)
+        }
+        version = Json.decodeFromString(ChangeAnswer.serializer(), text).version
+    }
+
+    /** Returns the answer, or null if the entry can't write yet. */
+    private fun send(call: Request): String? =
         client.newCall(call).execute().use { response ->
             val text = response.body.string()
-            check(response.isSuccessful) { "the change was refused: $text" }
-            version = Json.decodeFromString(ChangeAnswer.serializer(), text).version
+            check(response.isSuccessful || response.code == HTTP_UNAVAILABLE) { "the change was refused: $text" }
+            text.takeIf { response.isSuccessful }
         }
-    }
 
     private companion object {
         const val WORKSPACES_PER_CHANGE = 250
         const val MAX_WEIGHT = 9
+        const val HTTP_UNAVAILABLE = 503
+        const val PAUSE_MS = 200L
     }
 }
