--- a/harness/src/main/kotlin/org/medlarhook/harness/OperatorsCli.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/OperatorsCli.kt
@@ -3,6 +3,7 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
+import org.medlarhook.core.result.ResultCode
 import java.nio.file.Path
 
 /** Runs the operators' client against the entry whose operators' listener is [operatorsUrl]. */
@@ -18,11 +19,16 @@
         return CommandOutcome(process.waitFor(), output.trim())
     }
 
-    /** Applies a configuration. */
+    /** Applies a configuration; waits for an entry that has just started and may not write yet. */
     public fun applyConfig(base: Path, overlays: List<Path>) {
-        val overlayList = overlays.joinToString(",")
+        Readiness.until("the configuration was not applied") { isApplied(base, overlays.joinToString(",")) }
+    }
+
+    private fun isApplied(base: Path, overlayList: String): Boolean {
         val outcome = run("config", "apply", "--base=$base", "--overlays=$overlayList", "--author=$AUTHOR")
-        check(outcome.status == 0) { "the configuration was not applied: ${outcome.output}" }
+        val mayRepeat = outcome.output.startsWith(NOTHING_CHANGED.number.toString())
+        check(outcome.status == 0 || mayRepeat) { "the configuration was not applied: ${outcome.output}" }
+        return outcome.status == 0
     }
 
     /** Grants a key. */
@@ -39,5 +45,6 @@
 
     private companion object {
         const val AUTHOR = "harness"
+        val NOTHING_CHANGED = ResultCode.PLATFORM_UNAVAILABLE
     }
 }
