--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -11,6 +11,7 @@
 import org.medlarhook.entry.operators.ConfigService
 import org.medlarhook.entry.operators.CurrentDirectory
 import org.medlarhook.entry.operators.OperatorsRoutes
+import org.medlarhook.entry.operators.UsageWindows
 import org.medlarhook.platform.SystemTimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
@@ -107,7 +108,8 @@
 
     private fun operatorsRoutes(): OperatorsRoutes {
         val config = ConfigService(DirectoryLog(tables), CurrentDirectory(reader), directory.appender)
-        return OperatorsRoutes(config, directory.inForce, time)
+        val upstreams = StateDump { nowMs -> requests.dumps().getValue("upstreams").dump(nowMs) }
+        return OperatorsRoutes(config, directory.inForce, time, upstreams, UsageWindows(tables))
     }
 
     private fun dumps(): Map<String, StateDump> =
--- a/entry/src/main/kotlin/org/medlarhook/entry/operators/OperatorsRoutes.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/OperatorsRoutes.kt
@@ -5,11 +5,14 @@
 import io.javalin.http.Context
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
 import org.medlarhook.core.directory.EntityKind
 import org.medlarhook.core.directory.kind
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.platform.TimeSource
+import org.medlarhook.platform.UsageReport
+import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.operators.api.ChangeAnswer
 import org.medlarhook.runtime.operators.api.ChangeRequest
 import org.medlarhook.runtime.operators.api.ConfigAnswer
@@ -26,6 +29,8 @@
     private val config: ConfigService,
     private val inForce: InForceView,
     private val time: TimeSource,
+    private val upstreams: StateDump,
+    private val windows: UsageWindows,
 ) {
     /** Adds the routes to [routes]. */
     fun register(routes: RoutesConfig) {
@@ -36,6 +41,8 @@
         routes.get("/operators/keys") { it.listKeys() }
         routes.post("/operators/keys") { it.grantKey() }
         routes.delete("/operators/keys/{id}") { it.withdrawKey() }
+        routes.get("/operators/upstreams") { it.showUpstreams() }
+        routes.get("/operators/usage-windows") { it.showWindows() }
     }
 
     private fun Context.showConfig() {
@@ -88,6 +95,14 @@
         respond(ChangeAnswer.serializer(), answer)
     }
 
+    private fun Context.showUpstreams() {
+        contentType("application/json").result(upstreams.dump(time.monotonicMs()).toString())
+    }
+
+    private fun Context.showWindows() {
+        respond(ListSerializer(UsageReport.serializer()), windows.newest(limit = DEFAULT_HISTORY))
+    }
+
     private fun <T> Context.readBody(serializer: KSerializer<T>): T? =
         try {
             JSON.decodeFromString(serializer, body())
--- a/harness/src/main/kotlin/org/medlarhook/harness/capacity/CapacityLoad.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/capacity/CapacityLoad.kt
@@ -26,7 +26,7 @@
     fun seed(count: Int) {
         val routes = listOf(ServiceRoute("/", open = true, idempotent = true))
         change(listOf(ServiceDeclaration(CapacityDimension.SERVICE, routes)))
-        (1..count).chunked(WORKSPACES_PER_CHANGE).toList().forEach { numbers ->
+        for (numbers in (1..count).chunked(WORKSPACES_PER_CHANGE)) {
             val workspaces = numbers.map { Workspace("workspace-$it") }
             change(workspaces + workspaces.map { issuer.issue(it.name).grant })
         }
--- a/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/demo/DemoSteps.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.harness.Fleet
 import org.medlarhook.harness.OperatorsCli
 import org.medlarhook.harness.Readiness
+import java.util.concurrent.Executors
 
 /** The steps of the demonstration. Each throws if what it shows does not hold. */
 internal class DemoSteps(
@@ -29,6 +30,7 @@
                 DemoStep("a booking sent twice with one idempotency key through two entries", ::repeatedBooking),
                 DemoStep("an open route needs no key", ::openRoute),
                 DemoStep("a withdrawn key stops working", ::withdrawnKey),
+                DemoStep("a graceful stop of an upstream cuts no stream", ::gracefulStop),
             )
         val failed = steps.count { !it.run() }
         println("demo: ${steps.size - failed} passed, $failed failed")
@@ -77,7 +79,25 @@
         }
     }
 
+    private fun gracefulStop() {
+        val callers = Executors.newFixedThreadPool(STREAMS)
+        val answers =
+            List(STREAMS) { number ->
+                val entry = fleet.entries[number % fleet.entries.size].url
+                callers.submit<Answer> { caller.chat(entry, key, "stream $number", LONG_STREAM_TOKENS, stream = true) }
+            }
+        Thread.sleep(BEFORE_STOP_MS)
+        val hasEnded = fleet.upstreams.first().sidecar.terminate()
+        val whole = answers.count { it.get().body.trimEnd().endsWith("data: [DONE]") }
+        callers.shutdown()
+        check(hasEnded) { "the sidecar did not end" }
+        check(whole == STREAMS) { "$whole of $STREAMS streams are whole" }
+    }
+
     private companion object {
+        const val STREAMS = 12
+        const val LONG_STREAM_TOKENS = 150
+        const val BEFORE_STOP_MS = 500L
         const val HTTP_OK = 200
         const val HTTP_CREATED = 201
         const val HTTP_UNAUTHORIZED = 401
