Print workspaces as JSON when asked, and name the demonstration's relatives in one place

Cause: read as a newcomer: the client's JSON form of workspaces was no JSON, and the harness's main function had grown a chain of conditions. Ruled out: a second binary for measurements (the harness shares the fleet). Change: proper JSON; one when over the first argument.

--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FleetCommands.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FleetCommands.kt
@@ -2,7 +2,10 @@
 
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
+import kotlinx.serialization.builtins.ListSerializer
+import kotlinx.serialization.json.Json
 import org.medlarhook.cli.BuildVersion
+import org.medlarhook.core.directory.Workspace
 
 /** Prints the state dump of a process. */
 @OptIn(ExperimentalCli::class)
@@ -35,8 +38,10 @@
 @OptIn(ExperimentalCli::class)
 internal class WorkspaceCommand : OperatorsCommand("workspace", "Lists the workspaces") {
     override fun execute() {
-        val workspaces = client.config().orExit().entities.filterIsInstance<org.medlarhook.core.directory.Workspace>()
-        print("$workspaces") { workspaces.sortedBy { it.name }.joinToString("\n") { "${it.name} weight ${it.weight}" } }
+        val workspaces = client.config().orExit().entities.filterIsInstance<Workspace>()
+        print(Json.encodeToString(ListSerializer(Workspace.serializer()), workspaces)) {
+            workspaces.sortedBy { it.name }.joinToString("\n") { "${it.name} weight ${it.weight}" }
+        }
     }
 }
 
--- a/harness/src/main/kotlin/org/medlarhook/harness/demo/Main.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/demo/Main.kt
@@ -9,27 +9,38 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
+private const val BENCH = "--bench"
 private const val CAPACITY = "--capacity"
 private const val LOAD_FLEET = "--load-fleet"
 private const val NO_ADMISSION = "--no-admission"
-private val RELAY_BENCH = listOf("--bench", "relay")
+private const val KEEP = "--keep"
 
-/** Starts a small fleet, runs real traffic through it, and prints a line for each step; or measures one entry. */
+/**
+ * Runs the demonstration, or one of its relatives:
+ * `--bench relay` measures one entry, `--capacity DIMENSION…` measures slopes against the fleet's size, and
+ * `--load-fleet POLICY` keeps a fleet up for the load tool.
+ */
 fun main(args: Array<String>) {
     val root = Path.of(System.getProperty("user.dir"))
-    if (args.toList() == RELAY_BENCH) {
-        RelayBench(Binaries.under(root), root.resolve("examples/brillo")).run()
-        exitProcess(0)
-    }
-    if (args.firstOrNull() == CAPACITY) {
-        val report = CapacityReport(Binaries.under(root), root.resolve("docs/capacity"))
-        args.drop(1).forEach { report.run(CapacityDimension.valueOf(it.uppercase())) }
-        exitProcess(0)
-    }
-    if (args.firstOrNull() == LOAD_FLEET) {
-        val policy = RoutingPolicyName.valueOf(args[1].uppercase().replace('-', '_'))
-        LoadFleet(Binaries.under(root), root.resolve("examples/consortium")).run(policy, NO_ADMISSION !in args)
-    }
-    val demo = Demo(Binaries.under(root), root.resolve("examples/brillo"), keep = "--keep" in args)
-    exitProcess(if (demo.run()) 0 else 1)
+    val binaries = Binaries.under(root)
+    val isPassed =
+        when (args.firstOrNull()) {
+            BENCH -> RelayBench(binaries, root.resolve("examples/brillo")).run().let { true }
+            CAPACITY -> measureCapacity(binaries, root, args.drop(1))
+            LOAD_FLEET -> runLoadFleet(binaries, root, args.drop(1))
+            else -> Demo(binaries, root.resolve("examples/brillo"), keep = KEEP in args).run()
+        }
+    exitProcess(if (isPassed) 0 else 1)
+}
+
+private fun measureCapacity(binaries: Binaries, root: Path, dimensions: List<String>): Boolean {
+    val report = CapacityReport(binaries, root.resolve("docs/capacity"))
+    dimensions.forEach { report.run(CapacityDimension.valueOf(it.uppercase())) }
+    return true
+}
+
+private fun runLoadFleet(binaries: Binaries, root: Path, options: List<String>): Boolean {
+    val policy = RoutingPolicyName.valueOf(options.first().uppercase().replace('-', '_'))
+    LoadFleet(binaries, root.resolve("examples/consortium")).run(policy, NO_ADMISSION !in options)
+    return true
 }
