--- a/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryCompactor.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryCompactor.kt
@@ -5,13 +5,13 @@
 import arrow.core.raise.either
 import org.medlarhook.core.directory.DirectoryLog.Companion.HEAD_KEY
 import org.medlarhook.core.directory.DirectoryLog.Companion.toHead
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /**
  * Writes snapshots and trims the log behind them. Several processes may do so at once: the head row names only a
--- a/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryLog.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryLog.kt
@@ -5,14 +5,14 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /** The log of accepted changes in the tables: a head row, and a row for each version. */
 public class DirectoryLog(
--- a/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryReader.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/DirectoryReader.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import arrow.core.raise.Raise
 import arrow.core.raise.either
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
 
 /** Brings a replica forward from the tables: one row if nothing changed, else the log, or a snapshot and the log. */
 public class DirectoryReader(
--- a/core/src/main/kotlin/org/medlarhook/core/directory/ReplicaEvent.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/ReplicaEvent.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.directory
 
 import org.medlarhook.core.membership.EntryRegistration
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 
 /** What happens to a replica. Start times are on its own monotonic clock, taken before the request was sent. */
 public sealed interface ReplicaEvent {
--- a/core/src/main/kotlin/org/medlarhook/core/directory/SnapshotStore.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/directory/SnapshotStore.kt
@@ -1,8 +1,8 @@
 package org.medlarhook.core.directory
 
 import arrow.core.Either
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
 
 /** Keeps snapshots of the directory in the object store, one object a version. */
 internal class SnapshotStore(
--- a/core/src/main/kotlin/org/medlarhook/core/intent/IntentRow.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/intent/IntentRow.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.intent
 
 import kotlinx.serialization.Serializable
-import org.medlarhook.platform.UpstreamOrder
+import org.medlarhook.ports.UpstreamOrder
 
 /**
  * The newest start or stop of upstreams in one data centre.
--- a/core/src/main/kotlin/org/medlarhook/core/intent/IntentRunner.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/intent/IntentRunner.kt
@@ -6,17 +6,17 @@
 import arrow.core.raise.ensure
 import org.medlarhook.core.lease.Authority
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.UpstreamOrder
-import org.medlarhook.platform.UpstreamOrdering
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.UpstreamOrder
+import org.medlarhook.ports.UpstreamOrdering
+import org.medlarhook.ports.Write
 
 /**
  * Starts and stops upstreams of one data centre.
--- a/core/src/main/kotlin/org/medlarhook/core/lease/Authority.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/Authority.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.core.lease
 
-import org.medlarhook.platform.Condition
+import org.medlarhook.ports.Condition
 
 /**
  * What the holder of a lease shows with each step that it takes outward.
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseEvent.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseEvent.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.core.lease
 
-import org.medlarhook.platform.Row
+import org.medlarhook.ports.Row
 
 /** What happens to a process that holds or wants a lease. */
 public sealed interface LeaseEvent {
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseGroup.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseGroup.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.lease
 
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
 
 /** The leases that one process holds or waits for, at most [maxHeld] of them held. */
 public class LeaseGroup(
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseKeeper.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseKeeper.kt
@@ -1,9 +1,9 @@
 package org.medlarhook.core.lease
 
 import arrow.core.flatMap
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
 
 /**
  * Runs a [LeaseMachine] over the table service. Steps and hand-back come from one thread at a time; [authority] may be
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
@@ -1,8 +1,8 @@
 package org.medlarhook.core.lease
 
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
 
 /**
  * Decides how one process takes, renews and hands back one lease.
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseScope.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseScope.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.lease
 
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableNames
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableNames
 
 /** What a lease covers: the upstreams of one data centre, or the usage reports of one shard. */
 @JvmInline
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseWrite.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseWrite.kt
@@ -1,9 +1,9 @@
 package org.medlarhook.core.lease
 
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /** What a write of the lease row is for. */
 public enum class LeaseWriteKind {
--- a/core/src/main/kotlin/org/medlarhook/core/membership/UpstreamView.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/membership/UpstreamView.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 
 /**
  * The upstreams that one entry knows of, and which of them may get new work.
--- a/core/src/main/kotlin/org/medlarhook/core/membership/VmListView.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/membership/VmListView.kt
@@ -5,7 +5,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.collections.immutable.persistentSetOf
 import kotlinx.collections.immutable.toPersistentSet
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 
 /**
  * What the platform's lagging list of VMs has told this process so far.
--- a/core/src/main/kotlin/org/medlarhook/core/order/ApplierAction.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/ApplierAction.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.core.order
 
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Transaction
 
 /** What the state machine of a sidecar's orders asks for next. */
 public sealed interface ApplierAction {
--- a/core/src/main/kotlin/org/medlarhook/core/order/ApplierEvent.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/ApplierEvent.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.core.order
 
-import org.medlarhook.platform.Row
+import org.medlarhook.ports.Row
 
 /** What happens to a sidecar that applies orders. */
 public sealed interface ApplierEvent {
--- a/core/src/main/kotlin/org/medlarhook/core/order/ApplierMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/ApplierMachine.kt
@@ -2,10 +2,10 @@
 
 import org.medlarhook.core.lease.Jitter
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /**
  * Decides what a sidecar does about the orders for its upstream.
--- a/core/src/main/kotlin/org/medlarhook/core/order/OrderApplier.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/OrderApplier.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.order
 
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
 
 /**
  * Runs an [ApplierMachine] over the table service and the engine of one upstream. Steps come from one thread at a
--- a/core/src/main/kotlin/org/medlarhook/core/order/OrderIssuer.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/OrderIssuer.kt
@@ -10,14 +10,14 @@
 import org.medlarhook.core.lease.Authority
 import org.medlarhook.core.membership.UpstreamRegistration
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /**
  * Writes orders for the upstreams of one data centre.
--- a/core/src/main/kotlin/org/medlarhook/core/order/OrderKey.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/order/OrderKey.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.order
 
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableNames
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableNames
 
 /** Names an upstream within the tables. */
 public data class OrderKey(
--- a/core/src/main/kotlin/org/medlarhook/core/usage/UsageBook.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/UsageBook.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.usage
 
-import org.medlarhook.platform.UsageLine
-import org.medlarhook.platform.UsageReport
+import org.medlarhook.ports.UsageLine
+import org.medlarhook.ports.UsageReport
 
 /** What a shard has committed: amounts of the windows that are not frozen, and the receipts that are counted. */
 public data class UsageBook(
--- a/core/src/main/kotlin/org/medlarhook/core/usage/UsageCollector.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/UsageCollector.kt
@@ -5,10 +5,10 @@
 import arrow.core.raise.ensure
 import arrow.core.right
 import org.medlarhook.core.lease.Authority
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.UsageReport
-import org.medlarhook.platform.UsageReporting
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.UsageReport
+import org.medlarhook.ports.UsageReporting
 
 /**
  * Collects the receipts of one shard, freezes its windows, and sends them in order.
--- a/core/src/main/kotlin/org/medlarhook/core/usage/UsageKeys.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/UsageKeys.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.core.usage
 
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableNames
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableNames
 
 /** The rows of one shard's usage. */
 internal class UsageKeys(
--- a/core/src/main/kotlin/org/medlarhook/core/usage/UsageStore.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/usage/UsageStore.kt
@@ -5,15 +5,15 @@
 import arrow.core.raise.ensure
 import org.medlarhook.core.lease.Authority
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.UsageReport
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.UsageReport
+import org.medlarhook.ports.Write
 
 /** A book as read, with the version of the head row that the next commit replaces. */
 internal data class LoadedBook(
--- a/core/src/test/kotlin/org/medlarhook/core/control/IntentsWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/IntentsWorld.kt
@@ -8,11 +8,11 @@
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.UpstreamOrder
-import org.medlarhook.platform.UpstreamOrdering
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.UpstreamOrder
+import org.medlarhook.ports.UpstreamOrdering
 
 /** An entry that orders upstreams. Its calls of the platform may be lost, late, or behind a pause. */
 internal class IntentEntry(
--- a/core/src/test/kotlin/org/medlarhook/core/control/OrdersFuzz.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/OrdersFuzz.kt
@@ -8,7 +8,7 @@
 import net.jqwik.api.state.ActionChain
 import org.medlarhook.core.lease.LeaseSettings
 import org.medlarhook.core.order.ApplierSettings
-import org.medlarhook.platform.TableNames
+import org.medlarhook.ports.TableNames
 import kotlin.test.assertTrue
 
 class OrdersFuzz {
--- a/core/src/test/kotlin/org/medlarhook/core/control/OrdersWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/OrdersWorld.kt
@@ -14,9 +14,9 @@
 import org.medlarhook.core.order.OrderRow
 import org.medlarhook.core.order.OrderStatus
 import org.medlarhook.core.row.RowJson
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /** An engine that logs what it carried out. */
 internal class SimEngine(
--- a/core/src/test/kotlin/org/medlarhook/core/control/SimProcess.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/SimProcess.kt
@@ -5,12 +5,12 @@
 import org.medlarhook.fakes.FaultyTableService
 import org.medlarhook.fakes.ManualTimeSource
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 
 /** A process of a world: its clock, which runs at a rate of its own, and its way to the tables. */
 internal class SimProcess(
--- a/core/src/test/kotlin/org/medlarhook/core/control/UsageFuzz.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/UsageFuzz.kt
@@ -6,7 +6,7 @@
 import net.jqwik.api.Provide
 import net.jqwik.api.lifecycle.AfterContainer
 import net.jqwik.api.state.ActionChain
-import org.medlarhook.platform.TableNames
+import org.medlarhook.ports.TableNames
 import kotlin.test.assertTrue
 
 class UsageFuzz {
--- a/core/src/test/kotlin/org/medlarhook/core/control/UsageWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/UsageWorld.kt
@@ -10,9 +10,9 @@
 import org.medlarhook.core.usage.UsageCollector
 import org.medlarhook.core.usage.UsageReceipt
 import org.medlarhook.core.usage.UsageSettings
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.UsageReport
-import org.medlarhook.platform.UsageReporting
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.UsageReport
+import org.medlarhook.ports.UsageReporting
 
 /** An entry that collects, and keeps copies of receipts. */
 internal class UsageEntry(
--- a/core/src/test/kotlin/org/medlarhook/core/control/World.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/control/World.kt
@@ -8,9 +8,9 @@
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
 import org.medlarhook.fakes.InMemoryTableService
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.Transaction
 
 /** An entry with its lease. */
 internal open class SimEntry(
--- a/core/src/test/kotlin/org/medlarhook/core/directory/DirectoryLogTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/directory/DirectoryLogTest.kt
@@ -8,10 +8,10 @@
 import org.medlarhook.fakes.FaultyTableService
 import org.medlarhook.fakes.InMemoryTableService
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- a/core/src/test/kotlin/org/medlarhook/core/directory/MapObjectStore.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/directory/MapObjectStore.kt
@@ -2,8 +2,8 @@
 
 import arrow.core.Either
 import arrow.core.right
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
 
 /** An object store in memory. */
 class MapObjectStore : ObjectStore {
--- a/core/src/test/kotlin/org/medlarhook/core/fuzz/CommitRecorder.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/CommitRecorder.kt
@@ -3,11 +3,11 @@
 import arrow.core.Either
 import org.medlarhook.core.directory.DirectoryChange
 import org.medlarhook.core.directory.DirectoryJson
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 
 /** Tells of each change of the directory at the moment at which it takes effect. */
 class CommitRecorder(
--- a/core/src/test/kotlin/org/medlarhook/core/fuzz/FuzzEntry.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/FuzzEntry.kt
@@ -9,8 +9,8 @@
 import org.medlarhook.core.membership.EntryRegistration
 import org.medlarhook.fakes.FaultyTableService
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableService
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableService
 
 /** One process of an entry with its own clock, its own way to the tables, and the real replica. */
 class FuzzEntry(
--- a/core/src/test/kotlin/org/medlarhook/core/fuzz/FuzzWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/FuzzWorld.kt
@@ -13,12 +13,12 @@
 import org.medlarhook.core.membership.EntryRegistration
 import org.medlarhook.fakes.InMemoryTableService
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.ListedVm
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.ListedVm
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 import java.util.PriorityQueue
 import java.util.Random
 
--- a/core/src/test/kotlin/org/medlarhook/core/fuzz/LosingTables.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/LosingTables.kt
@@ -3,10 +3,10 @@
 import arrow.core.Either
 import org.medlarhook.fakes.FaultyTableService
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 
 /** Loses the next transaction or its answer, and leaves the way to the tables in the state [after]. */
 class LosingTables(
--- a/core/src/test/kotlin/org/medlarhook/core/fuzz/UpstreamWorld.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/fuzz/UpstreamWorld.kt
@@ -3,7 +3,7 @@
 import org.medlarhook.core.membership.UpstreamRegistration
 import org.medlarhook.core.membership.UpstreamReport
 import org.medlarhook.core.membership.UpstreamView
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 
 /** How reports reach the view; broken variants replace it. */
 data class UpstreamRules(
--- a/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/Entry.kt
@@ -12,7 +12,7 @@
 import org.medlarhook.entry.operators.CurrentDirectory
 import org.medlarhook.entry.operators.OperatorsRoutes
 import org.medlarhook.entry.operators.UsageWindows
-import org.medlarhook.platform.SystemTimeSource
+import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.operators.OperatorsListener
--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPath.kt
@@ -35,9 +35,9 @@
 import org.medlarhook.entry.upstream.PlainChannelFactory
 import org.medlarhook.entry.upstream.UpstreamLink
 import org.medlarhook.entry.upstream.UpstreamPool
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.Receipt
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.settings.EntrySettings
--- a/entry/src/main/kotlin/org/medlarhook/entry/call/CallServices.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/call/CallServices.kt
@@ -10,7 +10,7 @@
 import org.medlarhook.entry.routing.UpstreamLoads
 import org.medlarhook.entry.upstream.SidecarClient
 import org.medlarhook.entry.upstream.UpstreamPool
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.settings.CallSettings
 
 /** What the requests of an entry share. */
--- a/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimCleaner.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimCleaner.kt
@@ -1,11 +1,11 @@
 package org.medlarhook.entry.claim
 
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /** Deletes claims that are older than the retention, one page of the table a sweep. */
 internal class ClaimCleaner(
--- a/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimCodec.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimCodec.kt
@@ -9,9 +9,9 @@
 import org.medlarhook.core.call.CallAnswer
 import org.medlarhook.core.claim.Claim
 import org.medlarhook.core.claim.ClaimRow
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.TableFailure
 import java.util.Base64
 
 /** Turns claims into the content of rows and back. Bodies over [maxInlineBodyBytes] go through [objects]. */
--- a/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimKey.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/ClaimKey.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.entry.claim
 
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableNames
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableNames
 
 /** An idempotency key within its scope: a workspace, or a service on an open route. */
 internal data class ClaimKey(
--- a/entry/src/main/kotlin/org/medlarhook/entry/claim/GroupedClaimStore.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/GroupedClaimStore.kt
@@ -3,11 +3,11 @@
 import arrow.core.Either
 import org.medlarhook.core.claim.Claim
 import org.medlarhook.core.claim.ClaimWriteResult
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 import org.medlarhook.runtime.settings.ClaimSettings
 import java.util.concurrent.Executors
 import java.util.concurrent.LinkedBlockingQueue
--- a/entry/src/main/kotlin/org/medlarhook/entry/claim/PendingWrite.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/claim/PendingWrite.kt
@@ -2,8 +2,8 @@
 
 import org.medlarhook.core.claim.Claim
 import org.medlarhook.core.claim.ClaimWriteResult
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Write
 
 /** A write of a claim that waits for its transaction. */
 internal class PendingWrite(
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlane.kt
@@ -18,7 +18,7 @@
 import org.medlarhook.core.usage.UsageReceipt
 import org.medlarhook.core.usage.UsageRefusal
 import org.medlarhook.core.usage.UsageSettings
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.Receipt
 import org.medlarhook.protocol.ReceiptsAck
 import org.medlarhook.protocol.ReceiptsPage
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlatform.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ControlPlatform.kt
@@ -1,8 +1,8 @@
 package org.medlarhook.entry.control
 
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.UpstreamOrdering
-import org.medlarhook.platform.UsageReporting
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.UpstreamOrdering
+import org.medlarhook.ports.UsageReporting
 
 /** The platform's services that control works with. */
 internal class ControlPlatform(
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ControlledDataCentres.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ControlledDataCentres.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.entry.control
 
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
 
 /** Tells which data centres an entry looks after: its own, and those that have upstreams but no entry. */
 internal class ControlledDataCentres(
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/DataCentreControl.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/DataCentreControl.kt
@@ -16,7 +16,7 @@
 import org.medlarhook.core.usage.UsageReceipt
 import org.medlarhook.core.usage.UsageRefusal
 import org.medlarhook.core.usage.UsageSettings
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 
 /** The leases of one data centre as one entry sees them, and the work that they allow. */
 internal class DataCentreControl(
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/EntryMembers.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/EntryMembers.kt
@@ -4,8 +4,8 @@
 import org.medlarhook.core.lease.LeaseCandidates
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.membership.EntryRegistration
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
 
 /** The registered entries, read now and then. What it says may be old; safety does not depend on it. */
 internal class EntryMembers(
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/LeaseLoop.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/LeaseLoop.kt
@@ -4,7 +4,7 @@
 import org.medlarhook.core.lease.Authority
 import org.medlarhook.core.lease.LeaseGroup
 import org.medlarhook.core.lease.LeaseScope
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptCopies.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/ReceiptCopies.kt
@@ -13,7 +13,7 @@
 import org.medlarhook.core.usage.ReceiptSource
 import org.medlarhook.core.usage.UsageReceipt
 import org.medlarhook.core.usage.UsageRefusal
-import org.medlarhook.platform.TableService
+import org.medlarhook.ports.TableService
 import org.medlarhook.protocol.EntryServiceGrpc
 import org.medlarhook.protocol.Receipt
 import org.medlarhook.protocol.ReceiptsPage
--- a/entry/src/main/kotlin/org/medlarhook/entry/control/SidecarChannels.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/control/SidecarChannels.kt
@@ -6,10 +6,10 @@
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder
 import kotlinx.serialization.json.Json
 import org.medlarhook.core.membership.UpstreamRegistration
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
 import org.medlarhook.protocol.SidecarServiceGrpc
 import java.util.concurrent.TimeUnit
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/DirectoryService.kt
@@ -14,10 +14,10 @@
 import org.medlarhook.core.directory.ReplicaEvent
 import org.medlarhook.core.membership.EntryRegistration
 import org.medlarhook.entry.operators.InForceView
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.VmDirectory
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.VmDirectory
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/EntryRegistrar.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/EntryRegistrar.kt
@@ -4,13 +4,13 @@
 import arrow.core.flatMap
 import kotlinx.serialization.json.Json
 import org.medlarhook.core.membership.EntryRegistration
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 
 /** Keeps this entry's row in the entry table. */
 internal class EntryRegistrar(
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaActions.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaActions.kt
@@ -5,7 +5,7 @@
 import org.medlarhook.core.directory.ReplicaAction
 import org.medlarhook.core.directory.ReplicaEvent
 import org.medlarhook.core.membership.EntryMember
-import org.medlarhook.platform.VmDirectory
+import org.medlarhook.ports.VmDirectory
 
 /** Performs what the replica asks for, and tells it of the outcome. Start times are taken before the request. */
 internal class ReplicaActions(
--- a/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaRunner.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/directory/ReplicaRunner.kt
@@ -10,7 +10,7 @@
 import org.medlarhook.core.directory.WritePermit
 import org.medlarhook.core.directory.WriteRefusal
 import org.medlarhook.core.membership.EntryRegistration
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 
 /**
  * Holds the replica's state. Events are taken one at a time under [lock]; readers see the newest state without it.
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/CallersListener.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/CallersListener.kt
@@ -12,7 +12,7 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.settings.EntrySettings
 import java.util.concurrent.ScheduledExecutorService
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/Outcomes.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/Outcomes.kt
@@ -4,7 +4,7 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.RunState
 import org.medlarhook.entry.call.CallMetrics
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 
--- a/entry/src/main/kotlin/org/medlarhook/entry/operators/ConfigService.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/ConfigService.kt
@@ -12,7 +12,7 @@
 import org.medlarhook.core.key.KeyIssuer
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.entry.directory.ChangeAppender
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.TableFailure
 import org.medlarhook.runtime.operators.api.ChangeRequest
 import org.medlarhook.runtime.operators.api.KeyAnswer
 import org.medlarhook.runtime.operators.api.KeyRequest
--- a/entry/src/main/kotlin/org/medlarhook/entry/operators/CurrentDirectory.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/CurrentDirectory.kt
@@ -3,7 +3,7 @@
 import arrow.core.Either
 import org.medlarhook.core.directory.DirectoryReader
 import org.medlarhook.core.directory.DirectoryState
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.TableFailure
 
 /** The directory as the tables hold it now, for operators' calls. Each call reads only what is new. */
 internal class CurrentDirectory(
--- a/entry/src/main/kotlin/org/medlarhook/entry/operators/OperatorsRoutes.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/OperatorsRoutes.kt
@@ -10,8 +10,8 @@
 import org.medlarhook.core.directory.EntityKind
 import org.medlarhook.core.directory.kind
 import org.medlarhook.core.result.ResultCode
-import org.medlarhook.platform.TimeSource
-import org.medlarhook.platform.UsageReport
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.UsageReport
 import org.medlarhook.runtime.operators.StateDump
 import org.medlarhook.runtime.operators.api.ChangeAnswer
 import org.medlarhook.runtime.operators.api.ChangeRequest
--- a/entry/src/main/kotlin/org/medlarhook/entry/operators/UsageWindows.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/operators/UsageWindows.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import kotlinx.serialization.json.Json
 import org.medlarhook.core.result.ResultCode
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.UsageReport
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.UsageReport
 
 /** The usage windows that are frozen in the tables. */
 internal class UsageWindows(
--- a/entry/src/main/kotlin/org/medlarhook/entry/routing/LoadWatchListener.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/routing/LoadWatchListener.kt
@@ -2,7 +2,7 @@
 
 import org.medlarhook.entry.upstream.UpstreamLink
 import org.medlarhook.entry.upstream.WatchListener
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.UpstreamStatus
 
 /** Takes the load out of each status before it goes on to [next]. */
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/UpstreamPool.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/UpstreamPool.kt
@@ -3,9 +3,9 @@
 import arrow.core.Either
 import kotlinx.serialization.json.Json
 import org.medlarhook.core.membership.UpstreamRegistration
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
 import java.util.concurrent.ConcurrentHashMap
 
 /**
--- a/entry/src/main/kotlin/org/medlarhook/entry/upstream/UpstreamWatch.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/upstream/UpstreamWatch.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.entry.upstream
 
 import io.grpc.stub.StreamObserver
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.SidecarServiceGrpc
 import org.medlarhook.protocol.UpstreamStatus
 import org.medlarhook.protocol.WatchRequest
--- a/entry/src/test/kotlin/org/medlarhook/entry/claim/GroupedClaimStoreTest.kt
+++ b/entry/src/test/kotlin/org/medlarhook/entry/claim/GroupedClaimStoreTest.kt
@@ -11,8 +11,8 @@
 import org.medlarhook.fakes.InMemoryTableService
 import org.medlarhook.fakes.ManualTimeSource
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
 import org.medlarhook.runtime.settings.ClaimSettings
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -36,7 +36,7 @@
 
     private fun stored(key: String) =
         assertIs<Either.Right<*>>(tables.read(ClaimKey("w", key).row())).value?.let {
-            codec.decode(it as org.medlarhook.platform.Row).getOrNull()
+            codec.decode(it as org.medlarhook.ports.Row).getOrNull()
         }
 
     @Nested
--- a/entry/src/test/kotlin/org/medlarhook/entry/operators/ConfigServiceTest.kt
+++ b/entry/src/test/kotlin/org/medlarhook/entry/operators/ConfigServiceTest.kt
@@ -10,8 +10,8 @@
 import org.medlarhook.fakes.FaultyTableService
 import org.medlarhook.fakes.InMemoryTableService
 import org.medlarhook.fakes.TableFault
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
 import org.medlarhook.runtime.operators.api.ChangeRequest
 import org.medlarhook.runtime.operators.api.KeyAnswer
 import org.medlarhook.runtime.operators.api.KeyRequest
--- a/fakes/src/main/kotlin/org/medlarhook/fakes/FaultyTableService.kt
+++ b/fakes/src/main/kotlin/org/medlarhook/fakes/FaultyTableService.kt
@@ -2,12 +2,12 @@
 
 import arrow.core.Either
 import arrow.core.left
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 
 /** One process's view of [target], with a fault that is set from outside: each process of a test has its own. */
 public class FaultyTableService(
--- a/fakes/src/main/kotlin/org/medlarhook/fakes/InMemoryTableService.kt
+++ b/fakes/src/main/kotlin/org/medlarhook/fakes/InMemoryTableService.kt
@@ -3,13 +3,13 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 import java.util.TreeMap
 
 /** A table service in memory that never fails. All calls hold one lock. */
--- a/fakes/src/main/kotlin/org/medlarhook/fakes/ManualTimeSource.kt
+++ b/fakes/src/main/kotlin/org/medlarhook/fakes/ManualTimeSource.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.fakes
 
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 
 /** A clock that moves only when told to. */
 public class ManualTimeSource(
--- a/fakes/src/test/kotlin/org/medlarhook/fakes/InMemoryTableServiceTest.kt
+++ b/fakes/src/test/kotlin/org/medlarhook/fakes/InMemoryTableServiceTest.kt
@@ -2,11 +2,11 @@
 
 import arrow.core.getOrElse
 import org.junit.jupiter.api.Nested
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
--- a/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/Fleet.kt
@@ -2,7 +2,7 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.runtime.settings.EntrySettings
 import org.medlarhook.runtime.settings.ListenAddress
--- a/harness/src/main/kotlin/org/medlarhook/harness/VmList.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/VmList.kt
@@ -4,7 +4,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 
 /** Changes the VM list of the platform stand-in at [platformUrl]. */
 public class VmList(
--- a/platform/src/main/kotlin/org/medlarhook/platform/RowKey.kt
+++ b/ports/src/main/kotlin/org/medlarhook/ports/RowKey.kt
@@ -1,4 +1,4 @@
-package org.medlarhook.platform
+package org.medlarhook.ports
 
 import kotlinx.serialization.Serializable
 
--- a/platform/src/main/kotlin/org/medlarhook/platform/SystemTimeSource.kt
+++ b/ports/src/main/kotlin/org/medlarhook/ports/SystemTimeSource.kt
@@ -1,4 +1,4 @@
-package org.medlarhook.platform
+package org.medlarhook.ports
 
 /** The machine's clocks. */
 public object SystemTimeSource : TimeSource {
--- a/platform/src/main/kotlin/org/medlarhook/platform/TableFailure.kt
+++ b/ports/src/main/kotlin/org/medlarhook/ports/TableFailure.kt
@@ -1,4 +1,4 @@
-package org.medlarhook.platform
+package org.medlarhook.ports
 
 /** Why the table service did not do as asked. */
 public sealed interface TableFailure {
--- a/platform/src/main/kotlin/org/medlarhook/platform/TableNames.kt
+++ b/ports/src/main/kotlin/org/medlarhook/ports/TableNames.kt
@@ -1,4 +1,4 @@
-package org.medlarhook.platform
+package org.medlarhook.ports
 
 /** The tables that the system uses, and the form of their keys. */
 public object TableNames {
--- a/platform/src/main/kotlin/org/medlarhook/platform/TimeSource.kt
+++ b/ports/src/main/kotlin/org/medlarhook/ports/TimeSource.kt
@@ -1,4 +1,4 @@
-package org.medlarhook.platform
+package org.medlarhook.ports
 
 /** Where the edges of the program get the time from. Functions that decide take the time as an argument. */
 public interface TimeSource {
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/operators/OperatorsListener.kt
@@ -5,7 +5,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import kotlinx.serialization.json.JsonObject
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.settings.ListenAddress
 
 /**
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpPlatform.kt
@@ -6,14 +6,14 @@
 import arrow.core.right
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import org.medlarhook.platform.ListedVm
-import org.medlarhook.platform.ObjectStore
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.UpstreamOrder
-import org.medlarhook.platform.UpstreamOrdering
-import org.medlarhook.platform.UsageReport
-import org.medlarhook.platform.UsageReporting
-import org.medlarhook.platform.VmDirectory
+import org.medlarhook.ports.ListedVm
+import org.medlarhook.ports.ObjectStore
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.UpstreamOrder
+import org.medlarhook.ports.UpstreamOrdering
+import org.medlarhook.ports.UsageReport
+import org.medlarhook.ports.UsageReporting
+import org.medlarhook.ports.VmDirectory
 
 /** The platform's services besides the tables, over HTTP. */
 public class HttpPlatform(
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpTableService.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/HttpTableService.kt
@@ -6,12 +6,12 @@
 import arrow.core.right
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
-import org.medlarhook.platform.Committed
-import org.medlarhook.platform.Row
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
+import org.medlarhook.ports.Committed
+import org.medlarhook.ports.Row
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
 
 /** The platform's table service over HTTP with JSON bodies. */
 public class HttpTableService(
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttp.kt
@@ -11,7 +11,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
-import org.medlarhook.platform.TableFailure
+import org.medlarhook.ports.TableFailure
 import java.io.IOException
 import java.net.ConnectException
 import java.time.Duration
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/Sidecar.kt
@@ -11,7 +11,7 @@
 import org.medlarhook.core.attempt.SpeedEstimate
 import org.medlarhook.core.fairness.FairQueue
 import org.medlarhook.core.order.OrderKey
-import org.medlarhook.platform.SystemTimeSource
+import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/AttemptRunner.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/AttemptRunner.kt
@@ -6,7 +6,7 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.SealAnswer
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.runtime.log.LogEvent
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/GenerateTask.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/GenerateTask.kt
@@ -5,7 +5,7 @@
 import org.medlarhook.core.attempt.SharedDispatcher
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.RunState
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.Finished
 import org.medlarhook.protocol.GenerateEvent
 import org.medlarhook.protocol.GenerateRequest
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/ServiceTask.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/attempt/ServiceTask.kt
@@ -4,7 +4,7 @@
 import org.medlarhook.core.attempt.SharedDispatcher
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.Receipt
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.protocol.ServiceCall
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/IntakeGate.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/IntakeGate.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.sidecar.control
 
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.sidecar.status.StatusHub
 import org.medlarhook.sidecar.status.UpstreamState
 
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/OrderLoop.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/control/OrderLoop.kt
@@ -8,8 +8,8 @@
 import org.medlarhook.core.order.OrderKey
 import org.medlarhook.core.order.OrderRow
 import org.medlarhook.core.order.OrderStatus
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.warnEvent
 
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapter.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapter.kt
@@ -4,7 +4,7 @@
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.sidecar.http.SendProgress
 import org.medlarhook.sidecar.http.SingleSendClient
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/lifecycle/GracefulStop.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/lifecycle/GracefulStop.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.sidecar.lifecycle
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/registration/SidecarRegistrar.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/registration/SidecarRegistrar.kt
@@ -4,13 +4,13 @@
 import arrow.core.flatMap
 import kotlinx.serialization.json.Json
 import org.medlarhook.core.membership.UpstreamRegistration
-import org.medlarhook.platform.Condition
-import org.medlarhook.platform.RowKey
-import org.medlarhook.platform.TableFailure
-import org.medlarhook.platform.TableNames
-import org.medlarhook.platform.TableService
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableNames
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 import org.medlarhook.runtime.settings.SidecarSettings
 import java.util.UUID
 
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/rpc/SidecarRpc.kt
@@ -5,7 +5,7 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.AttemptState
 import org.medlarhook.protocol.GenerateEvent
 import org.medlarhook.protocol.GenerateRequest
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/service/ServiceAdapter.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/service/ServiceAdapter.kt
@@ -4,7 +4,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.internal.http.HttpMethod
-import org.medlarhook.platform.TimeSource
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.protocol.ServiceCall
 import org.medlarhook.runtime.settings.ServiceSettings
 import org.medlarhook.sidecar.http.SendProgress
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/status/UpstreamState.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.sidecar.status
 
 import org.medlarhook.core.attempt.SchedulerLoad
-import org.medlarhook.platform.SystemTimeSource
+import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.protocol.LoadedModel
 import org.medlarhook.protocol.UpstreamRole
 import org.medlarhook.protocol.UpstreamStatus
--- a/sidecar/src/test/kotlin/org/medlarhook/sidecar/control/OrderLoopTest.kt
+++ b/sidecar/src/test/kotlin/org/medlarhook/sidecar/control/OrderLoopTest.kt
@@ -8,9 +8,9 @@
 import org.medlarhook.core.order.OrderStatus
 import org.medlarhook.core.role.UpstreamRole
 import org.medlarhook.fakes.InMemoryTableService
-import org.medlarhook.platform.SystemTimeSource
-import org.medlarhook.platform.Transaction
-import org.medlarhook.platform.Write
+import org.medlarhook.ports.SystemTimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.runtime.settings.ListenAddress
 import org.medlarhook.runtime.settings.PlatformSettings
--- a/sidecar/src/test/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapterTest.kt
+++ b/sidecar/src/test/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapterTest.kt
@@ -5,7 +5,7 @@
 import org.medlarhook.core.result.Failure
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.result.RunState
-import org.medlarhook.platform.SystemTimeSource
+import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.sidecar.lifecycle.Workers
 import java.net.InetAddress
--- a/sidecar/src/test/kotlin/org/medlarhook/sidecar/service/ServiceAdapterTest.kt
+++ b/sidecar/src/test/kotlin/org/medlarhook/sidecar/service/ServiceAdapterTest.kt
@@ -4,7 +4,7 @@
 import okhttp3.OkHttpClient
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
-import org.medlarhook.platform.SystemTimeSource
+import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.protocol.RunState
 import org.medlarhook.protocol.ServiceAnswer
 import org.medlarhook.protocol.ServiceCall
--- a/standins/src/main/kotlin/org/medlarhook/standins/platform/LaggingVmList.kt
+++ b/standins/src/main/kotlin/org/medlarhook/standins/platform/LaggingVmList.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.standins.platform
 
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 
 /** The VM list, shown as it was [lagMs] ago. */
 internal class LaggingVmList(
--- a/standins/src/test/kotlin/org/medlarhook/standins/platform/LaggingVmListTest.kt
+++ b/standins/src/test/kotlin/org/medlarhook/standins/platform/LaggingVmListTest.kt
@@ -1,7 +1,7 @@
 package org.medlarhook.standins.platform
 
 import org.junit.jupiter.api.Nested
-import org.medlarhook.platform.ListedVm
+import org.medlarhook.ports.ListedVm
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertTrue
