--- a/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/Main.kt
@@ -4,6 +4,7 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import org.medlarhook.cli.command.EntryCommand
+import org.medlarhook.cli.command.FrontCommand
 import org.medlarhook.cli.command.ReportCommand
 import org.medlarhook.cli.command.SidecarCommand
 import org.medlarhook.cli.command.StateCommand
@@ -32,6 +33,7 @@
     val parser = ArgParser(PROGRAM, prefixStyle = ArgParser.OptionPrefixStyle.GNU)
     val commands =
         listOf(
+            FrontCommand(),
             EntryCommand(),
             SidecarCommand(),
             WorkspaceCommand(),
--- /dev/null
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -0,0 +1,23 @@
+package org.medlarhook.cli.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.medlarhook.cli.ExitCode
+import org.medlarhook.platform.PlatformServing
+import kotlin.system.exitProcess
+
+/** Serves callers on the users' platform until the process is stopped. */
+@OptIn(ExperimentalCli::class)
+internal class FrontCommand : Subcommand("front", "Serves callers on the users' platform") {
+    private val check by option(ArgType.Boolean, "check", description = "Check the settings only").default(false)
+
+    override fun execute() {
+        val result = if (check) PlatformServing.check() else PlatformServing.run()
+        result.onLeft {
+            System.err.println(it)
+            exitProcess(ExitCode.INVALID.status)
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -0,0 +1,84 @@
+package org.medlarhook.serving.call
+
+import org.medlarhook.core.serving.load.OwnAttempt
+import org.medlarhook.core.serving.load.UpstreamLoad
+import org.medlarhook.core.serving.place.Demand
+import org.medlarhook.core.serving.place.Placement
+
+/** Keeps the load of one attempt's upstream up to date while the attempt runs. */
+internal class AttemptTracker(
+    private val serving: ServingLoop,
+    private val demand: Demand,
+    private val chosen: Placement.Chosen,
+    private val sentAtMs: Long,
+    private val onBegan: () -> Unit,
+) {
+    private val incarnation = chosen.upstream.incarnation
+    private val key = "${sequence++}"
+    private var hasRun = false
+
+    init {
+        update { it.copy(own = it.own.put(key, OwnAttempt(sentAtMs, chosen.prefillMs, chosen.decodeMs))) }
+    }
+
+    /** The upstream has told its load. */
+    fun answered(head: UpstreamHead) {
+        val told = head.load ?: return
+        update { it.told(told.running, told.waiting, serving.nowMs()) }
+    }
+
+    /** The request has begun to run. */
+    fun ran() {
+        if (hasRun) return
+        hasRun = true
+        onBegan()
+    }
+
+    /** The first token is there. */
+    fun firstToken() {
+        if (hasRun) return
+        ran()
+        val nowMs = serving.nowMs()
+        val observedMs = (nowMs - sentAtMs).toDouble()
+        update { load ->
+            val started = load.own[key]?.copy(hasFirstToken = true)
+            load.copy(
+                own = if (started == null) load.own else load.own.put(key, started),
+                speed = load.speed.observed(chosen.firstTokenMs, observedMs),
+                cache = demand.generation?.let { load.cache.used(it.parts, nowMs) } ?: load.cache,
+            )
+        }
+    }
+
+    fun notRun(head: UpstreamHead) {
+        val nowMs = serving.nowMs()
+        update { load ->
+            val freed = load.copy(own = load.own.remove(key))
+            if (head.isMisdirected) freed.copy(failures = load.failures.failed(nowMs)) else freed
+        }
+    }
+
+    fun ended(isSound: Boolean) {
+        val nowMs = serving.nowMs()
+        val observedMs = (nowMs - sentAtMs).toDouble()
+        update { load ->
+            load.copy(
+                own = load.own.remove(key),
+                failures = if (isSound) load.failures.succeeded() else load.failures.failed(nowMs),
+                speed = if (demand.generation == null) load.speed.observed(chosen.firstTokenMs, observedMs) else load.speed,
+            )
+        }
+    }
+
+    fun failed(wasSent: Boolean) {
+        if (wasSent && demand.generation == null) ran()
+        val nowMs = serving.nowMs()
+        update { it.copy(own = it.own.remove(key), failures = it.failures.failed(nowMs)) }
+    }
+
+    private fun update(change: (UpstreamLoad) -> UpstreamLoad) = serving.updateLoad(incarnation, chosen.upstream.slots, change)
+
+    private companion object {
+        var sequence = 0L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -0,0 +1,78 @@
+package org.medlarhook.serving.call
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.Timer
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.event
+import org.medlarhook.runtime.log.warnEvent
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** One log line and one measurement for each request. Keys and bodies are never logged. */
+internal class RequestLog(
+    private val registry: MeterRegistry,
+) {
+    private val timers = HashMap<String, Timer>()
+
+    fun finished(
+        record: ExchangeRecord,
+        outcome: Outcome,
+        configVersion: Long?,
+        confirmedAtMs: Long?,
+        nowMs: Long,
+    ) {
+        val tookMs = nowMs - record.arrivedAtMs
+        val demand = record.demand
+        timer(demand?.route?.kind?.name?.lowercase() ?: "none", outcome.label).record(tookMs, TimeUnit.MILLISECONDS)
+        val fields =
+            arrayOf(
+                "request" to record.call.attemptId,
+                "outcome" to outcome.label,
+                "status" to statusOf(outcome),
+                "tookMs" to tookMs,
+                "waitedMs" to record.waitedMs,
+                "route" to demand?.route?.name,
+                "workspace" to demand?.workspace,
+                "leftMs" to demand?.let { it.finalAtMs - nowMs },
+                "config" to configVersion,
+                "configAgeMs" to confirmedAtMs?.let { nowMs - it },
+                "attempts" to record.trail,
+                "retryAfterMs" to record.retryAfterMs,
+                "promptTokens" to demand?.generation?.promptTokens,
+                "outputTokens" to demand?.generation?.outputTokens,
+                "parts" to demand?.generation?.parts?.joinToString(",") { "${it.id}:${it.tokens}" },
+                "maxTokens" to demand?.generation?.maxOutputTokens,
+            )
+        if (outcome is Outcome.Answered) {
+            logger.event(LogEvent.REQUEST_FINISHED, *fields)
+        } else {
+            logger.warnEvent(LogEvent.REQUEST_FAILED, *fields)
+        }
+    }
+
+    private fun statusOf(outcome: Outcome): Int? =
+        when (outcome) {
+            is Outcome.Answered -> outcome.status
+            is Outcome.Rejected -> outcome.code.httpStatus
+            is Outcome.Broken, is Outcome.Left -> null
+        }
+
+    private fun timer(kind: String, outcome: String): Timer =
+        timers.getOrPut("$kind/$outcome") {
+            Timer
+                .builder("medlarhook.requests")
+                .description("Time from a request's arrival to its final answer")
+                .tag("kind", kind)
+                .tag("outcome", outcome)
+                .serviceLevelObjectives(*OBJECTIVES)
+                .register(registry)
+        }
+
+    private companion object {
+        val OBJECTIVES: Array<Duration> =
+            longArrayOf(25, 50, 100, 200, 400, 800, 2_000, 5_000, 15_000).map(Duration::ofMillis).toTypedArray()
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -0,0 +1,30 @@
+package org.medlarhook.serving.call
+
+/**
+ * What the head of an upstream's answer says.
+ *
+ * @property attemptId the attempt that it answers, as echoed; null if it names none.
+ * @property isNotRun true if the upstream states that it has not run the request.
+ * @property isMisdirected true if another upstream has the address now.
+ * @property load running, waiting and slots, if told.
+ * @property isStream true if events follow.
+ * @property isEncoded true if the body is not the upstream's own bytes.
+ */
+public data class UpstreamHead(
+    val status: Int,
+    val attemptId: String?,
+    val isNotRun: Boolean,
+    val isMisdirected: Boolean,
+    val load: ToldLoad?,
+    val isStream: Boolean,
+    val isEncoded: Boolean,
+    val isLeaving: Boolean,
+    val idleTimeoutMs: Long?,
+)
+
+/** The load that an upstream tells with an answer. */
+public data class ToldLoad(
+    val running: Int,
+    val waiting: Int,
+    val slots: Int,
+)
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -0,0 +1,230 @@
+package org.medlarhook.serving.duty
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.serialization.Serializable
+import org.medlarhook.core.lease.LeaseKeeper
+import org.medlarhook.core.lease.LeaseScope
+import org.medlarhook.core.lease.LeaseSettings
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.usage.UsageWindows
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableFailure
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.event
+import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.call.ServingLoop
+import org.medlarhook.serving.process.ServingBounds
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Publishes this process's usage, and reports the windows of all processes while it holds the duty.
+ *
+ * Every process writes what it has counted to its own row of each window. The holder adds the rows up once all have
+ * closed the window, writes the sum to a row that is written once, and delivers that row. A successor delivers the
+ * same row again rather than a new sum.
+ */
+internal class UsageDuty(
+    private val process: String,
+    private val serving: ServingLoop,
+    private val tables: TableService,
+    private val clock: StoreClock,
+    private val reporting: WindowReporting,
+    private val bounds: ServingBounds,
+    private val time: TimeSource,
+) {
+    private val scope = LeaseScope("usage")
+    private val lease = LeaseKeeper(scope, process, leaseSettings(bounds), tables, time)
+    private val delivered = HashSet<Long>()
+    private val published = HashMap<Long, PublishedWindow>()
+    private var firstWindow: Long? = null
+    private var isHolding = false
+
+    /** Runs the duty on a thread of its own. */
+    fun start() {
+        thread(name = "usage", isDaemon = true) {
+            while (true) {
+                val begunAtMs = time.monotonicMs()
+                step()
+                Thread.sleep((PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS))
+            }
+        }
+    }
+
+    /** Publishes what was counted, and hands the duty back. */
+    fun stop() {
+        onLoop { serving.usage }?.let { publish(it, time.monotonicMs(), isClosing = true) }
+        lease.release()
+    }
+
+    private fun step() {
+        val usage = onLoop { serving.usage } ?: return
+        if (usage.offsetMs == null) return setClock()
+        val nowMs = time.monotonicMs()
+        publish(usage, nowMs, isClosing = false)
+        lease.run()
+        noteHolding()
+        val current = usage.windowAt(usage.trueMs(nowMs)!!)
+        val first = firstWindow ?: (current - LOOK_BACK).also { firstWindow = it }
+        readPeers(current)
+        if (isHolding) (maxOf(first, current - LOOK_BACK)..current - 1).forEach { report(it, usage, nowMs) }
+    }
+
+    /** Agrees on the offset of true time from the store's clock: the first process to write it decides. */
+    private fun setClock() {
+        val begunAtMs = time.monotonicMs()
+        val storeMs = clock.readMs() ?: return
+        val ownOffsetMs = time.wallMs() - storeMs
+        val write = Transaction(listOf(Condition(CLOCK_KEY, Condition.ABSENT)), listOf(Write(CLOCK_KEY, "$ownOffsetMs")))
+        tables.transact(write)
+        val agreedMs = tables.read(CLOCK_KEY).getOrNull()?.value?.toLongOrNull() ?: return
+        val steadyAtReadMs = (begunAtMs + time.monotonicMs()) / 2
+        onLoop { serving.updateUsage { it.withOffset(agreedMs + storeMs - steadyAtReadMs) } }
+    }
+
+    private fun publish(usage: UsageWindows, nowMs: Long, isClosing: Boolean) {
+        val current = usage.windowAt(usage.trueMs(nowMs) ?: return)
+        val windows = (usage.counts.keys + current + (current - 1)).filter { it <= current }
+        val writes =
+            windows.mapNotNull { window ->
+                val next = PublishedWindow(usage.counts[window].orEmpty(), isClosed = isClosing || window < current)
+                if (published[window] == next) null else window to next
+            }
+        if (writes.isEmpty()) return
+        val rows = writes.map { (window, row) -> Write(rowKey(window), RowJson.encode(row)) }
+        tables.transact(Transaction(emptyList(), rows)).onRight {
+            published += writes
+            forgetOld(current)
+        }
+    }
+
+    private fun forgetOld(current: Long) {
+        val oldest = current - KEEP_WINDOWS
+        published.keys.removeIf { it < oldest }
+        delivered.removeIf { it < oldest }
+        onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
+    }
+
+    private fun readPeers(current: Long) {
+        rowsOf(current - 1).onRight { rows ->
+            val processes = rows.size
+            if (processes > 0) onLoop { serving.setPeers(processes) }
+        }
+    }
+
+    private fun noteHolding() {
+        val holds = lease.authority()?.mayAct(time.monotonicMs()) == true
+        if (holds != isHolding) {
+            logger.event(
+                if (holds) LogEvent.LEASE_TAKEN else LogEvent.LEASE_LOST,
+                "scope" to scope.name,
+                "epoch" to lease.authority()?.epoch,
+            )
+        }
+        isHolding = holds
+    }
+
+    private fun report(window: Long, usage: UsageWindows, nowMs: Long) {
+        if (window in delivered) return
+        val endedMs = usage.trueMs(nowMs)!! - (window + 1) * bounds.usageWindowMs
+        val rows = rowsOf(window).getOrElse { return }
+        val isWhole = rows.values.all { it.isClosed } && endedMs >= SETTLE_MS
+        if (!isWhole && endedMs < bounds.usageLateMs - LAST_MOMENT_MS) return
+        val frozen = freeze(window, sum(rows.values)) ?: return
+        val authority = lease.authority()?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
+        reporting.deliver(window, frozen.counts, process.substringBefore('#'), authority.epoch).fold(
+            { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
+            {
+                delivered += window
+                logger.event(LogEvent.WINDOW_SENT, "window" to window, "counts" to frozen.counts, "endedMs" to endedMs)
+            },
+        )
+    }
+
+    /** Writes the sum of [window] once; proves in the same step that the duty is still held. */
+    private fun freeze(window: Long, counts: Map<String, Long>): FrozenWindow? {
+        val authority = lease.authority() ?: return null
+        val key = RowKey(FROZEN_TABLE, windowKey(window))
+        val known = tables.read(key).getOrElse { return null }
+        val frozen = known?.let { RowJson.decode<FrozenWindow>(it.value) } ?: FrozenWindow(counts)
+        val version = known?.version ?: Condition.ABSENT
+        val write = Transaction(listOf(authority.condition(), Condition(key, version)), listOf(Write(key, RowJson.encode(frozen))))
+        return tables.transact(write).fold({ null }, { frozen })
+    }
+
+    private fun rowsOf(window: Long): Either<TableFailure, Map<String, PublishedWindow>> =
+        tables.scan(COUNT_TABLE, prefix = "${windowKey(window)}/").map { rows ->
+            rows.associate { it.key.key to RowJson.decode<PublishedWindow>(it.value) }
+        }
+
+    private fun sum(rows: Collection<PublishedWindow>): Map<String, Long> =
+        rows
+            .flatMap { it.counts.entries }
+            .groupBy({ it.key }, { it.value })
+            .mapValues { (_, counts) -> counts.sum() }
+            .toSortedMap()
+
+    private fun rowKey(window: Long): RowKey = RowKey(COUNT_TABLE, "${windowKey(window)}/$process")
+
+    private fun windowKey(window: Long): String = window.toString().padStart(WINDOW_DIGITS, '0')
+
+    private fun <T : Any> onLoop(task: () -> T): T? =
+        runCatching { serving.loop.submit(task).get(LOOP_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
+            .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "loop", "cause" to it.toString()) }
+            .getOrNull()
+
+    @Serializable
+    private data class PublishedWindow(
+        val counts: Map<String, Long>,
+        val isClosed: Boolean,
+    )
+
+    @Serializable
+    private data class FrozenWindow(
+        val counts: Map<String, Long>,
+    )
+
+    private companion object {
+        const val COUNT_TABLE = "usage-count"
+        const val FROZEN_TABLE = "usage-window"
+        val CLOCK_KEY = RowKey("clock", "offset")
+        const val WINDOW_DIGITS = 12
+
+        /** A kill loses at most this much of a process's count. */
+        const val PERIOD_MS = 1_000L
+        const val MIN_PAUSE_MS = 100L
+
+        /** Windows before the present one that may still be due. */
+        const val LOOK_BACK = 3L
+        const val KEEP_WINDOWS = 8L
+
+        /** Rows of a window are closed within one period of its end; the rest covers a slow store. */
+        const val SETTLE_MS = 1_500L
+
+        /** Before a window is late, it goes out with the rows that there are. */
+        const val LAST_MOMENT_MS = 3_000L
+        const val LOOP_TIMEOUT_MS = 2_000L
+
+        /** The slowest call of the duty: a delivery's timeout. */
+        const val LONGEST_CALL_MS = 800L
+
+        fun leaseSettings(bounds: ServingBounds): LeaseSettings =
+            LeaseSettings(
+                durationMs = bounds.leaseMs,
+                marginMs = bounds.leaseMs / 10,
+                longestOutwardCallMs = LONGEST_CALL_MS,
+                renewEveryMs = bounds.leaseMs / 3,
+                watchEveryMs = bounds.leaseMs / 3,
+                retryMs = 200,
+            )
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -0,0 +1,232 @@
+package org.medlarhook.serving.http
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import org.medlarhook.core.result.ResultCode
+import org.medlarhook.serving.call.Caller
+import org.medlarhook.serving.call.Exchange
+import org.medlarhook.serving.call.ServingLoop
+import java.util.concurrent.Future
+
+/**
+ * A caller's connection: reads requests, one exchange at a time, and writes their answers.
+ *
+ * Reading goes on while an exchange runs, so that a caller that leaves is noticed at once; a request that comes
+ * meanwhile waits.
+ */
+internal class CallerConnection(
+    private val serving: ServingLoop,
+    private val lifecycle: Lifecycle,
+) : ChannelInboundHandlerAdapter(),
+    Caller {
+    private lateinit var context: ChannelHandlerContext
+    private val ahead = ArrayDeque<Any>()
+    private var request: HttpRequest? = null
+    private var body: CompositeByteBuf? = null
+    private var exchange: Exchange? = null
+    private var timer: Future<*>? = null
+    private var keepsOpen = true
+    private var isClosing = false
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    override fun channelActive(ctx: ChannelHandlerContext) {
+        lifecycle.opened(this)
+        awaitRequest(idleMs = limits().idleTimeoutMs)
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        when {
+            isClosing -> ReferenceCountUtil.release(message)
+            exchange != null || ahead.isNotEmpty() -> queue(message)
+            else -> read(message)
+        }
+    }
+
+    private fun queue(message: Any) {
+        ahead.addLast(message)
+        if (ahead.size > MAX_AHEAD) context.channel().config().isAutoRead = false
+    }
+
+    private fun read(message: Any) {
+        if (message is HttpRequest) {
+            if (message.decoderResult().isFailure) {
+                ReferenceCountUtil.release(message)
+                return refuse(codeOf(message.decoderResult().cause()))
+            }
+            beginRequest(message)
+        }
+        if (message is HttpContent) {
+            readContent(message)
+            message.release()
+        }
+    }
+
+    private fun beginRequest(message: HttpRequest) {
+        request = message
+        body = context.alloc().compositeBuffer(MAX_COMPONENTS)
+        if (HttpUtil.is100ContinueExpected(message)) context.writeAndFlush(CONTINUE.retainedDuplicate())
+        restartTimer(limits().headerTimeoutMs) { refuse(ResultCode.BODY_TIMEOUT) }
+    }
+
+    private fun readContent(content: HttpContent) {
+        val current = body ?: return
+        if (content.decoderResult().isFailure) return refuse(ResultCode.MALFORMED_REQUEST)
+        if (content.content().isReadable) current.addComponent(true, content.content().retain())
+        if (current.readableBytes() > limits().bodyBytes) return refuse(ResultCode.BODY_TOO_LARGE)
+        if (content is LastHttpContent) beginExchange()
+    }
+
+    private fun beginExchange() {
+        val read = request!!
+        val whole = body!!
+        request = null
+        body = null
+        timer?.cancel(false)
+        keepsOpen = HttpUtil.isKeepAlive(read)
+        val call = serving.format.readCall(read, whole)
+        if (call == null) {
+            whole.release()
+            return refuse(ResultCode.MALFORMED_REQUEST)
+        }
+        val next = Exchange(serving, call, this) { exchangeDone() }
+        exchange = next
+        next.start()
+    }
+
+    private fun exchangeDone() {
+        exchange = null
+        if (isClosing) return
+        awaitRequest(limits().idleTimeoutMs)
+        context.executor().execute { drainAhead() }
+    }
+
+    private fun drainAhead() {
+        while (exchange == null && ahead.isNotEmpty() && !isClosing) read(ahead.removeFirst())
+        if (ahead.isEmpty()) context.channel().config().isAutoRead = true
+    }
+
+    private fun awaitRequest(idleMs: Long) {
+        restartTimer(idleMs) { close() }
+    }
+
+    private fun restartTimer(afterMs: Long, task: () -> Unit) {
+        timer?.cancel(false)
+        timer = serving.schedule(serving.nowMs() + afterMs, task)
+    }
+
+    private fun refuse(code: ResultCode) {
+        timer?.cancel(false)
+        body?.release()
+        body = null
+        request = null
+        keepsOpen = false
+        answer(code.httpStatus, serving.format.ownHeaders(null, null), Unpooled.copiedBuffer("${code.title}\n", Charsets.UTF_8))
+    }
+
+    private fun codeOf(cause: Throwable): ResultCode =
+        if (cause is TooLongFrameException) ResultCode.HEADERS_TOO_LARGE else ResultCode.MALFORMED_REQUEST
+
+    override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body)
+        response.headers().setAll(headers)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
+        write(response, isLast = true)
+    }
+
+    override fun beginStream(status: Int, headers: HttpHeaders, endsWithClose: Boolean) {
+        val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().setAll(headers)
+        if (endsWithClose) keepsOpen = false else HttpUtil.setTransferEncodingChunked(response, true)
+        write(response, isLast = false)
+    }
+
+    override fun stream(events: ByteBuf) {
+        context.writeAndFlush(DefaultHttpContent(events))
+    }
+
+    override fun endStream() {
+        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        if (!keepsOpen) written.addListener(closing())
+    }
+
+    override fun breakOff() {
+        isClosing = true
+        context.channel().config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0)
+        context.close()
+    }
+
+    override val isWritable: Boolean get() = context.channel().isWritable
+
+    private fun write(response: HttpResponse, isLast: Boolean) {
+        if (lifecycle.isStopping) keepsOpen = false
+        if (!keepsOpen) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        val written = context.writeAndFlush(response)
+        if (isLast && !keepsOpen) written.addListener(closing())
+    }
+
+    private fun closing(): ChannelFutureListener {
+        isClosing = true
+        return ChannelFutureListener.CLOSE
+    }
+
+    /** Closes the connection if no request is on it. */
+    fun closeIfIdle() {
+        if (exchange == null && request == null && ahead.isEmpty()) close()
+    }
+
+    private fun close() {
+        isClosing = true
+        context.close()
+    }
+
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        exchange?.callerWritable(ctx.channel().isWritable)
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        isClosing = true
+        timer?.cancel(false)
+        lifecycle.closed(this)
+        exchange?.callerLeft()
+        body?.release()
+        body = null
+        ahead.forEach { ReferenceCountUtil.release(it) }
+        ahead.clear()
+    }
+
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        lifecycle.failed(cause)
+        ctx.close()
+    }
+
+    private fun limits() = lifecycle.limits()
+
+    private companion object {
+        /** Parts of a request that may wait behind a running one. */
+        const val MAX_AHEAD = 64
+        const val MAX_COMPONENTS = 1_024
+        val CONTINUE = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
@@ -0,0 +1,52 @@
+package org.medlarhook.serving.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import org.medlarhook.core.serving.fleet.Endpoint
+import org.medlarhook.serving.call.ServingLoop
+
+/** Accepts callers' connections. */
+internal class CallerListener(
+    private val group: EventLoopGroup,
+    private val serving: ServingLoop,
+    private val lifecycle: Lifecycle,
+) {
+    private var channel: Channel? = null
+
+    fun open(address: Endpoint) {
+        channel =
+            ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(
+                    object : ChannelInitializer<Channel>() {
+                        override fun initChannel(child: Channel) {
+                            child.pipeline().addLast(
+                                StrictRequestDecoder(lifecycle.limits().headerBytes),
+                                HttpResponseEncoder(),
+                                CallerConnection(serving, lifecycle),
+                            )
+                        }
+                    },
+                ).bind(address.host, address.port)
+                .syncUninterruptibly()
+                .channel()
+    }
+
+    fun close() {
+        channel?.close()
+    }
+
+    private companion object {
+        /** A burst of new connections waits here rather than being dropped. */
+        const val BACKLOG = 512
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -0,0 +1,104 @@
+package org.medlarhook.serving.process
+
+import arrow.core.Either
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.core.serving.fleet.RegistryUpdate
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.event
+import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.call.ServingLoop
+
+private val logger = KotlinLogging.logger {}
+
+/** Keeps configuration and registry of a [ServingLoop] up to date from the store. */
+internal class Feeds(
+    private val store: ControlStore,
+    private val serving: ServingLoop,
+    private val time: TimeSource,
+) {
+    @Volatile
+    private var generation = 0
+
+    fun start() {
+        Follower("config", time, ConfigFeed(), ConfigSink()).start()
+        Follower("registry", time, RegistryFeed(), RegistrySink()).start()
+    }
+
+    private inner class ConfigFeed : FeedSource<ConfigRead> {
+        override fun readAll(): Either<StoreFailure, ConfigRead> = store.readConfig()
+
+        override fun await(position: Long, waitMs: Long) = store.awaitConfig(position, waitMs)
+
+        override fun positionOf(read: ConfigRead): Long = read.position
+    }
+
+    private inner class ConfigSink : FeedSink<ConfigRead> {
+        override fun generation(): Int = generation
+
+        override fun received(read: ConfigRead, begunAtMs: Long, generation: Int) {
+            serving.loop.execute {
+                val config = read.config
+                if (config != null && serving.configure(config)) {
+                    logger.event(
+                        LogEvent.CONFIG_IN_FORCE,
+                        "version" to config.version,
+                        "routes" to config.routes.routes.size,
+                        "keys" to config.workspaceByKey?.size,
+                    )
+                }
+                if (read.problem == null) {
+                    serving.confirmConfig(begunAtMs, generation)
+                } else {
+                    logger.warnEvent(LogEvent.CONFIG_UNREADABLE, "cause" to read.problem)
+                }
+                this@Feeds.generation = serving.trust.generation
+            }
+        }
+
+        override fun unreachable() {
+            serving.loop.execute { this@Feeds.generation = serving.trust.generation }
+        }
+    }
+
+    private inner class RegistryFeed : FeedSource<RegistryRead> {
+        override fun readAll(): Either<StoreFailure, RegistryRead> = store.listUpstreams()
+
+        override fun await(position: Long, waitMs: Long) = store.awaitUpstreams(position, waitMs)
+
+        override fun positionOf(read: RegistryRead): Long = read.position
+    }
+
+    private inner class RegistrySink : FeedSink<RegistryRead> {
+        override fun generation(): Int = 0
+
+        override fun received(read: RegistryRead, begunAtMs: Long, generation: Int) {
+            read.unreadable.forEach { logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it) }
+            logUpdate(read.update)
+            serving.loop.execute { serving.updateRegistry(read.update) }
+        }
+
+        override fun unreachable() {
+            serving.loop.execute { serving.updateRegistry(RegistryUpdate.Unreachable) }
+        }
+
+        private fun logUpdate(update: RegistryUpdate) {
+            when (update) {
+                is RegistryUpdate.Listing ->
+                    logger.event(
+                        LogEvent.REGISTRY_LISTED,
+                        "upstreams" to update.upstreams.map { "${it.id}@${it.address} ${it.service} ${it.stage}" },
+                    )
+                is RegistryUpdate.Changes ->
+                    if (update.written.isNotEmpty() || update.removedIds.isNotEmpty()) {
+                        logger.event(
+                            LogEvent.REGISTRY_CHANGED,
+                            "written" to update.written.map { "${it.id}@${it.address} draining=${it.isDraining}" },
+                            "removed" to update.removedIds,
+                        )
+                    }
+                is RegistryUpdate.Unreachable -> Unit
+            }
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -0,0 +1,112 @@
+package org.medlarhook.serving.process
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Gauge
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import io.netty.channel.nio.NioEventLoopGroup
+import org.medlarhook.ports.TableService
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.event
+import org.medlarhook.serving.call.CallFormat
+import org.medlarhook.serving.call.RequestLog
+import org.medlarhook.serving.call.ServingLoop
+import org.medlarhook.serving.duty.StoreClock
+import org.medlarhook.serving.duty.UsageDuty
+import org.medlarhook.serving.duty.WindowReporting
+import org.medlarhook.serving.http.CallerListener
+import org.medlarhook.serving.http.Lifecycle
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/** What a [ServingProcess] meets of the outside world. */
+public class ServingPorts(
+    public val format: CallFormat,
+    public val store: ControlStore,
+    public val tables: TableService,
+    public val clock: StoreClock,
+    public val reporting: WindowReporting,
+    public val time: TimeSource,
+)
+
+/** One process that serves callers: starts its parts, and stops them in order. */
+public class ServingProcess(
+    private val settings: ServingSettings,
+    ports: ServingPorts,
+) {
+    private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    private val group = NioEventLoopGroup(1)
+    private val time = ports.time
+    private val serving =
+        ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
+    private val lifecycle = Lifecycle(serving)
+    private val callers = CallerListener(group, serving, lifecycle)
+    private val feeds = Feeds(ports.store, serving, time)
+    private val duty =
+        UsageDuty(
+            settings.process,
+            serving,
+            ports.tables,
+            ports.clock,
+            ports.reporting,
+            settings.bounds,
+            time,
+        )
+    private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
+    private val stopped = CountDownLatch(1)
+
+    @Volatile
+    private var isReady = false
+
+    /** Runs until the process is told to stop. */
+    public fun run() {
+        Runtime.getRuntime().addShutdownHook(Thread({ stop() }, "shutdown"))
+        feeds.start()
+        callers.open(settings.callers)
+        serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        duty.start()
+        status.start()
+        Gauge.builder("medlarhook.requests.in.flight") { serving.requestsInFlight }.register(meters)
+        Gauge.builder("medlarhook.callers.connections") { lifecycle.openConnections }.register(meters)
+        Gauge.builder("medlarhook.upstreams.connections") { serving.pool.openConnections }.register(meters)
+        logger.event(LogEvent.PROCESS_STARTED, "process" to settings.process, "callers" to settings.callers)
+        stopped.await()
+    }
+
+    private fun tick() {
+        serving.tick()
+        isReady = !lifecycle.isStopping && serving.config != null && serving.registry.all().isNotEmpty()
+        if (lifecycle.isStopping) lifecycle.closeIdle()
+    }
+
+    /** Leaves the balancer, serves what still comes and what runs, and then ends. */
+    private fun stop() {
+        val endAtMs = time.monotonicMs() + settings.bounds.shutdownMs
+        val quietAtMs = time.monotonicMs() + LEAVE_BALANCER_MS
+        logger.event(LogEvent.DRAIN_STARTED, "inFlight" to serving.requestsInFlight)
+        isReady = false
+        serving.loop.execute { lifecycle.isStopping = true }
+        duty.stop()
+        while (time.monotonicMs() < endAtMs) {
+            if (time.monotonicMs() >= quietAtMs && serving.requestsInFlight == 0) break
+            Thread.sleep(POLL_MS)
+        }
+        callers.close()
+        logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
+        stopped.countDown()
+    }
+
+    private fun dumpState(): String = serving.loop.submit<String> { StateView.of(serving, lifecycle) }.get()
+
+    private companion object {
+        /** Registrations and idle connections are looked at this often. */
+        const val TICK_MS = 100L
+
+        /** The balancer notices after two questions a second apart that the process is leaving. */
+        const val LEAVE_BALANCER_MS = 3_500L
+        const val POLL_MS = 50L
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
@@ -0,0 +1,28 @@
+package org.medlarhook.serving.process
+
+import kotlinx.collections.immutable.ImmutableMap
+import org.medlarhook.core.serving.fleet.Endpoint
+import org.medlarhook.core.serving.place.AffinityPlacer
+import org.medlarhook.core.serving.place.Distances
+import org.medlarhook.core.serving.place.Placer
+
+/**
+ * Settings of a serving process.
+ *
+ * @property process names one start of this process.
+ * @property callers where callers connect.
+ * @property status where readiness, metrics and the state dump are served.
+ * @property readinessPath the path of the readiness check.
+ */
+public data class ServingSettings(
+    val process: String,
+    val dataCentre: String,
+    val regionByDataCentre: ImmutableMap<String, String>,
+    val callers: Endpoint,
+    val status: Endpoint,
+    val readinessPath: String,
+    val bounds: ServingBounds,
+) {
+    /** The placement that these settings choose. */
+    internal fun placer(): Placer = AffinityPlacer(Distances(dataCentre, regionByDataCentre))
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/StateView.kt
@@ -0,0 +1,40 @@
+package org.medlarhook.serving.process
+
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.addJsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.medlarhook.serving.call.ServingLoop
+import org.medlarhook.serving.http.Lifecycle
+
+/** The state dump of a serving process; holds no keys. */
+internal object StateView {
+    fun of(serving: ServingLoop, lifecycle: Lifecycle): String {
+        val nowMs = serving.nowMs()
+        return buildJsonObject {
+            put("configVersion", serving.config?.version)
+            put("configAgeMs", serving.trust.confirmedAtMs?.let { nowMs - it })
+            put("requestsInFlight", serving.requestsInFlight)
+            put("callerConnections", lifecycle.openConnections)
+            put("isStopping", lifecycle.isStopping)
+            putJsonArray("upstreams") {
+                serving.registry.all().forEach { upstream ->
+                    val load = serving.loadView[upstream.incarnation]
+                    addJsonObject {
+                        put("id", upstream.id)
+                        put("address", upstream.address.toString())
+                        put("service", upstream.service)
+                        put("isDraining", upstream.isDraining)
+                        put("stage", upstream.stage?.name)
+                        put("ownAttempts", load?.own?.size ?: 0)
+                        put("othersRequests", load?.othersAt(nowMs) ?: 0.0)
+                        put("speedRatio", load?.speed?.ratio ?: 1.0)
+                        put("isAvoided", load?.failures?.isAvoided(nowMs) ?: false)
+                    }
+                }
+            }
+            putJsonArray("usageWindows") { serving.usage.counts.keys.sorted().forEach { add(it) } }
+        }.toString()
+    }
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -0,0 +1,154 @@
+package org.medlarhook.serving.upstream
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import org.medlarhook.serving.call.CallFormat
+import org.medlarhook.serving.call.UpstreamHead
+
+/**
+ * One connection to an upstream; carries one attempt at a time.
+ *
+ * An answer that names another attempt is a late one of an earlier attempt: it is read and dropped, and the wait goes
+ * on. Bytes that come while no attempt waits end the connection.
+ */
+internal class UpstreamConnection(
+    private val format: CallFormat,
+    private val onIdle: (UpstreamConnection) -> Unit,
+    private val onClosed: (UpstreamConnection) -> Unit,
+) : ChannelInboundHandlerAdapter() {
+    private lateinit var context: ChannelHandlerContext
+    private var listener: AttemptListener? = null
+    private var attemptId: String? = null
+    private var isSkipping = false
+    private var isLastAnswer = false
+    private var isBroken = false
+    private var framing = BodyFraming.LENGTH
+
+    /** When the connection became idle, on the steady clock. */
+    var idleSinceMs: Long = 0
+
+    /** How long the upstream keeps it open when idle. */
+    var idleTimeoutMs: Long = DEFAULT_IDLE_TIMEOUT_MS
+        private set
+
+    val isOpen: Boolean get() = context.channel().isActive
+
+    override fun handlerAdded(ctx: ChannelHandlerContext) {
+        context = ctx
+    }
+
+    /** Sends [request] for the attempt with [id]. */
+    fun send(id: String?, request: FullHttpRequest, attempt: AttemptListener) {
+        listener = attempt
+        attemptId = id
+        isSkipping = false
+        attempt.onSent()
+        context.writeAndFlush(request)
+    }
+
+    /** Ends the attempt of [attempt] and the connection, so that the upstream stops working on it. */
+    fun abandon(attempt: AttemptListener) {
+        if (listener !== attempt) return
+        listener = null
+        context.close()
+    }
+
+    /** Stops or resumes reading, so that a slow caller slows the upstream. */
+    fun setReading(isReading: Boolean) {
+        context.channel().config().isAutoRead = isReading
+    }
+
+    fun close() {
+        context.close()
+    }
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        try {
+            if (message is HttpObject && message.decoderResult().isFailure) return unreadable()
+            if (message is HttpResponse) onResponse(message)
+            if (message is HttpContent) onContent(message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    private fun onResponse(response: HttpResponse) {
+        val current = listener ?: return close()
+        val head = format.readHead(response)
+        if (head.status < FIRST_FINAL_STATUS) {
+            isSkipping = true
+            return
+        }
+        isSkipping = head.attemptId != null && head.attemptId != attemptId
+        if (isSkipping) return
+        framing = framingOf(response)
+        noteLifetime(head, response)
+        current.onHead(head, response, framing)
+    }
+
+    private fun onContent(content: HttpContent) {
+        val current = listener ?: return
+        if (isSkipping) return
+        if (content.content().isReadable) current.onBody(content.content())
+        if (content is LastHttpContent && listener === current && !isBroken) finish(current)
+    }
+
+    private fun finish(current: AttemptListener) {
+        listener = null
+        current.onEnd()
+        if (isLastAnswer || framing == BodyFraming.CONNECTION_CLOSE) context.close() else onIdle(this)
+    }
+
+    private fun noteLifetime(head: UpstreamHead, response: HttpResponse) {
+        isLastAnswer = head.isLeaving || !HttpUtil.isKeepAlive(response)
+        head.idleTimeoutMs?.let { idleTimeoutMs = it }
+    }
+
+    private fun framingOf(response: HttpResponse): BodyFraming =
+        when {
+            HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKED
+            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) -> BodyFraming.LENGTH
+            response.status().code() in BODILESS_STATUSES -> BodyFraming.LENGTH
+            response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE, true) -> BodyFraming.LENGTH
+            else -> BodyFraming.CONNECTION_CLOSE
+        }
+
+    private fun unreadable() {
+        fail(AttemptFailure.UNREADABLE_ANSWER)
+        context.close()
+    }
+
+    override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+        isBroken = true
+        fail(AttemptFailure.CONNECTION_LOST)
+        ctx.close()
+    }
+
+    override fun channelInactive(ctx: ChannelHandlerContext) {
+        fail(AttemptFailure.CONNECTION_LOST)
+        onClosed(this)
+    }
+
+    private fun fail(reason: AttemptFailure) {
+        val current = listener ?: return
+        listener = null
+        current.onFailure(reason, wasSent = true)
+    }
+
+    private companion object {
+        const val FIRST_FINAL_STATUS = 200
+        val BODILESS_STATUSES = setOf(204, 304)
+
+        /** Until an upstream has told its own, connections are not kept longer than this. */
+        const val DEFAULT_IDLE_TIMEOUT_MS = 5_000L
+    }
+}
