Read long prompts apart from the engines that write, and keep a session's prompts together

Cause: three engines that only read prompts got no request, and affinity went by a prompt's last part, which belongs to one request only (seen in the log: the part before the last repeats). Ruled out: processor time of the entries (0.07 cores of 0.57).

--- a/core/src/main/kotlin/org/medlarhook/core/serving/config/ServiceSpec.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/config/ServiceSpec.kt
@@ -18,9 +18,13 @@
  * @property slots requests that run at once.
  * @property cacheTokens memory for running requests and cached prompt parts.
  * @property tokensPerEvent tokens that one event of a stream carries.
+ * @property cacheBytesPerToken size of a token's cache when it is copied to another engine.
+ * @property linkBytesPerMs speed of a copy between two engines of a data centre.
  */
 public data class EngineSpec(
     val slots: Int,
     val cacheTokens: Long,
     val tokensPerEvent: Int,
+    val cacheBytesPerToken: Long,
+    val linkBytesPerMs: Double,
 )
--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/GenerationWork.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/GenerationWork.kt
@@ -13,6 +13,9 @@
     val maxOutputTokens: Int,
     val parts: List<PromptPart>,
 ) {
-    /** The part that only the request's session uses, if it names parts. */
-    val sessionPart: PromptPart? get() = parts.lastOrNull()
+    /**
+     * The longest beginning that other requests share, as the id of its last part. The last part of all belongs to
+     * the request itself, so that the one before it names what is worth keeping together.
+     */
+    val sharedPart: PromptPart? get() = if (parts.size < 2) parts.lastOrNull() else parts[parts.size - 2]
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
@@ -7,44 +7,56 @@
  * What this process knows of the work at one upstream.
  *
  * @property own this process's attempts there that have not ended, by attempt.
- * @property report the last load that the upstream told with an answer.
+ * @property others requests of other processes that run or wait there, a moving mean of what the upstream told.
+ * @property toldAtMs when the upstream told its load last.
  * @property cache the prompt parts that it is believed to hold.
- * @property speed how fast it has been against the model of its engine.
+ * @property speed how long it takes against the model of its engine.
  * @property failures recent failures, for avoiding it.
  */
 public data class UpstreamLoad(
     val slots: Int,
     val own: PersistentMap<String, OwnAttempt> = persistentMapOf(),
-    val report: LoadReport? = null,
+    val others: Double = 0.0,
+    val toldAtMs: Long? = null,
+    val fullUntilMs: Long = Long.MIN_VALUE,
     val cache: PartCache = PartCache(),
     val speed: SpeedRatio = SpeedRatio(),
     val failures: FailureRecord = FailureRecord(),
 ) {
-    /** Requests of other processes that run or wait there, discounted by the report's age. */
+    /** Requests of other processes that run or wait there, discounted by the age of what is known. */
     public fun othersAt(nowMs: Long): Double {
-        val last = report ?: return 0.0
-        val ageMs = (nowMs - last.atMs).coerceAtLeast(0)
-        return last.others * Math.exp(-ageMs / REPORT_DECAY_MS)
+        val ageMs = nowMs - (toldAtMs ?: return 0.0)
+        return others * Math.exp(-(ageMs - TRUSTED_MS).coerceAtLeast(0) / DECAY_MS)
     }
 
     /** Requests of all processes that run or wait there. */
     public fun requestsAt(nowMs: Long): Double = own.size + othersAt(nowMs)
 
-    /** This process's work there that delays a new prompt, in milliseconds of the engine. */
-    public fun ownPrefillMs(): Double = own.values.sumOf { if (it.hasFirstToken) 0.0 else it.prefillMs }
-
-    /** This process's attempts that have not got their first token. */
-    public fun ownUnstarted(): Int = own.values.count { !it.hasFirstToken }
+    /** The engine's time for prompts that this process has sent there and that are not read yet. */
+    public fun ownPrefillMs(nowMs: Long): Double {
+        val unread = own.values.filter { !it.hasFirstToken && it.prefillMs > 0 }
+        val oldestMs = unread.minOfOrNull { it.sentAtMs } ?: return 0.0
+        val total = unread.sumOf { it.prefillMs }
+        val first = unread.first { it.sentAtMs == oldestMs }
+        return total - (nowMs - oldestMs).toDouble().coerceIn(0.0, first.prefillMs)
+    }
 
     /** Records the load that the upstream told at [nowMs]; this process's own attempts are taken out of it. */
     public fun told(running: Int, waiting: Int, nowMs: Long): UpstreamLoad {
-        val others = (running + waiting - own.size).coerceAtLeast(0)
-        return copy(report = LoadReport(nowMs, running, waiting, others.toDouble()))
+        val sample = (running + waiting - own.size).coerceAtLeast(0).toDouble()
+        val weight = if (toldAtMs == null) 1.0 else SAMPLE_WEIGHT
+        return copy(others = others + (sample - others) * weight, toldAtMs = nowMs)
     }
 
     private companion object {
-        /** Requests of a mean length leave within this time; older reports say little. */
-        const val REPORT_DECAY_MS = 400.0
+        /** Several answers a second come from an upstream in use; their mean tells its load. */
+        const val SAMPLE_WEIGHT = 0.4
+
+        /** Until then what was told is taken as it is. */
+        const val TRUSTED_MS = 300L
+
+        /** Requests of a mean length have left after this time. */
+        const val DECAY_MS = 500.0
     }
 }
 
@@ -60,15 +72,3 @@
     val decodeMs: Double,
     val hasFirstToken: Boolean = false,
 )
-
-/**
- * The load that an upstream told.
- *
- * @property others requests there that were not this process's when it told so.
- */
-public data class LoadReport(
-    val atMs: Long,
-    val running: Int,
-    val waiting: Int,
-    val others: Double,
-)
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.core.serving.place
 
+import org.medlarhook.core.serving.config.EngineSpec
 import org.medlarhook.core.serving.config.Route
 import org.medlarhook.core.serving.load.GenerationWork
 
@@ -11,6 +12,7 @@
  * @property arrivedAtMs when the request was read, on the steady clock.
  * @property finalAtMs when it gets its final answer at the latest: the caller's or the route's limit.
  * @property priority 0 is the most urgent.
+ * @property engine the engines of the service, or null for a plain service.
  */
 public data class Demand(
     val route: Route,
@@ -20,7 +22,18 @@
     val arrivedAtMs: Long,
     val finalAtMs: Long,
     val priority: Int,
+    val engine: EngineSpec? = null,
 ) {
+    /**
+     * True if the caller has come back after a refusal: it waits for clearly less than the route lets a request wait.
+     */
+    val isReturning: Boolean get() = finalAtMs - arrivedAtMs < route.timeoutMs * RETURNING_SHARE
+
     /** When the answer, or the first event of a stream, should be there. */
     val objectiveAtMs: Long get() = arrivedAtMs + route.objectiveMs
+
+    private companion object {
+        /** First attempts arrive with nearly all of their time; those told to come back have lost a good part of it. */
+        const val RETURNING_SHARE = 0.88
+    }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Distances.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Distances.kt
@@ -15,7 +15,18 @@
             else -> OTHER_REGION_MS
         }
 
+    /** How much longer a copy of cached prompt parts takes than within one data centre. */
+    public fun copyFactor(from: String, to: String): Double =
+        when {
+            from == to -> 1.0
+            regionByDataCentre[from] == regionByDataCentre[to] -> COPY_SAME_REGION
+            else -> COPY_OTHER_REGION
+        }
+
     private companion object {
+        const val COPY_SAME_REGION = 2.0
+        const val COPY_OTHER_REGION = 10.0
+
         const val SAME_DATA_CENTRE_MS = 0.5
 
         /** Data centres of a region are about a millisecond apart. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -63,6 +63,10 @@
         exchange.attemptFailed(reason, wasSent)
     }
 
+    override fun onAbandoned() {
+        end { tracker.abandoned() }
+    }
+
     private fun end(account: () -> Unit) {
         if (isOver) return
         isOver = true
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptOptions.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptOptions.kt
@@ -1,5 +1,7 @@
 package org.medlarhook.serving.call
 
+import org.medlarhook.core.serving.fleet.Endpoint
+
 /**
  * What the system tells an upstream beside the caller's request.
  *
@@ -13,4 +15,20 @@
     val workspace: String?,
     val priority: Int?,
     val resumeAfterEventId: Long?,
+    val step: AttemptStep = AttemptStep.Whole,
 )
+
+/** Which part of a request an upstream does. */
+public sealed interface AttemptStep {
+    /** All of it. */
+    public data object Whole : AttemptStep
+
+    /** It reads the prompt and keeps its cache for another engine. */
+    public data object ReadPrompt : AttemptStep
+
+    /** It goes on from the cache that the engine at [source] keeps as [handle]. */
+    public data class GoOn(
+        val source: Endpoint,
+        val handle: String,
+    ) : AttemptStep
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.serving.call
 
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.load.OwnAttempt
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.Demand
@@ -11,14 +12,20 @@
     private val demand: Demand,
     private val chosen: Placement.Chosen,
     private val sentAtMs: Long,
+    private val upstream: Upstream,
     private val onBegan: () -> Unit,
 ) {
-    private val incarnation = chosen.upstream.incarnation
+    private val incarnation = upstream.incarnation
+    private val isReader = upstream == chosen.prefill
+    private val predictedMs = if (isReader) chosen.readyMs else chosen.firstEventMs - chosen.readyMs
     private val key = "${sequence++}"
     private var hasRun = false
+    private var hasFirstToken = false
 
     init {
-        update { it.copy(own = it.own.put(key, OwnAttempt(sentAtMs, chosen.prefillMs, chosen.decodeMs))) }
+        val prefillMs = if (isReader || chosen.prefill == null) chosen.prefillMs else 0.0
+        val decodeMs = if (isReader) 0.0 else chosen.decodeMs
+        update { it.copy(own = it.own.put(key, OwnAttempt(sentAtMs, prefillMs, decodeMs))) }
     }
 
     /** The upstream has told its load. */
@@ -36,15 +43,16 @@
 
     /** The first token is there. */
     fun firstToken() {
-        if (hasRun) return
-        ran()
+        if (hasFirstToken) return
+        hasFirstToken = true
+        if (!isReader) ran()
         val nowMs = serving.nowMs()
         val observedMs = (nowMs - sentAtMs).toDouble()
         update { load ->
             val started = load.own[key]?.copy(hasFirstToken = true)
             load.copy(
                 own = if (started == null) load.own else load.own.put(key, started),
-                speed = load.speed.observed(chosen.firstTokenMs, observedMs),
+                speed = load.speed.observed(predictedMs, observedMs),
                 cache = demand.generation?.let { load.cache.used(it.parts, nowMs) } ?: load.cache,
             )
         }
@@ -65,7 +73,7 @@
             load.copy(
                 own = load.own.remove(key),
                 failures = if (isSound) load.failures.succeeded() else load.failures.failed(nowMs),
-                speed = if (demand.generation == null) load.speed.observed(chosen.firstTokenMs, observedMs) else load.speed,
+                speed = if (demand.generation == null) load.speed.observed(predictedMs, observedMs) else load.speed,
             )
         }
     }
@@ -76,7 +84,12 @@
         update { it.copy(own = it.own.remove(key), failures = it.failures.failed(nowMs)) }
     }
 
-    private fun update(change: (UpstreamLoad) -> UpstreamLoad) = serving.updateLoad(incarnation, chosen.upstream.slots, change)
+    /** The attempt was given up; that says nothing of the upstream. */
+    fun abandoned() {
+        update { it.copy(own = it.own.remove(key)) }
+    }
+
+    private fun update(change: (UpstreamLoad) -> UpstreamLoad) = serving.updateLoad(incarnation, upstream.slots, change)
 
     private companion object {
         var sequence = 0L
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -3,6 +3,7 @@
 import io.netty.buffer.Unpooled
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.serving.config.CallKind
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.serving.upstream.AttemptFailure
@@ -73,20 +74,49 @@
     }
 
     private fun send(chosen: Placement.Chosen, nowMs: Long) {
+        if (chosen.prefill == null) write(chosen, AttemptStep.Whole, nowMs) else read(chosen, chosen.prefill!!, nowMs)
+    }
+
+    /** Has the prompt read at [reader]; that is no run. */
+    private fun read(chosen: Placement.Chosen, reader: Upstream, nowMs: Long) {
+        tried += reader.id
+        record.reading(chosen, nowMs)
+        val request = serving.format.upstreamRequest(call, reader, options(AttemptStep.ReadPrompt, nowMs))
+        val attempt = PromptAttempt(this, serving, demand, chosen, nowMs)
+        handle = serving.pool.send(reader, call.attemptId, request, mayRepeat = true, attempt)
+    }
+
+    /** The prompt is read and kept as [cacheHandle]. */
+    fun promptRead(chosen: Placement.Chosen, cacheHandle: String) {
+        if (isDone) return serving.release(chosen.prefill!!, cacheHandle)
+        write(chosen, AttemptStep.GoOn(chosen.prefill!!.address, cacheHandle), serving.nowMs())
+    }
+
+    /** The prompt could not be read apart: it is read where it is answered. */
+    fun promptNotRead(reason: String) {
+        record.failed(reason)
+        if (isDone) return
+        tried += serving.readers(demand)
+        place()
+    }
+
+    private fun options(step: AttemptStep, nowMs: Long): AttemptOptions =
+        AttemptOptions(
+            remainingMs = (demand.finalAtMs - nowMs).coerceAtLeast(1),
+            workspace = demand.workspace,
+            priority = demand.priority.takeIf { demand.generation != null },
+            resumeAfterEventId = relay?.lastEventId,
+            step = step,
+        )
+
+    private fun write(chosen: Placement.Chosen, step: AttemptStep, nowMs: Long) {
         tried += chosen.upstream.id
         sends++
         record.sent(chosen, nowMs)
-        val options =
-            AttemptOptions(
-                remainingMs = (demand.finalAtMs - nowMs).coerceAtLeast(1),
-                workspace = demand.workspace,
-                priority = demand.priority.takeIf { demand.generation != null },
-                resumeAfterEventId = relay?.lastEventId,
-            )
-        val request = serving.format.upstreamRequest(call, chosen.upstream, options)
+        val request = serving.format.upstreamRequest(call, chosen.upstream, options(step, nowMs))
         val next = relay?.takeIf { it.hasBegun } ?: newRelay()
         relay = next
-        val tracker = AttemptTracker(serving, demand, chosen, nowMs) { began() }
+        val tracker = AttemptTracker(serving, demand, chosen, nowMs, chosen.upstream) { began() }
         val attempt = Attempt(this, next, tracker)
         handle = serving.pool.send(chosen.upstream, call.attemptId, request, demand.route.mayRunAgain, attempt)
         attempt.handle = handle
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/IgnoredAnswer.kt
@@ -0,0 +1,22 @@
+package org.medlarhook.serving.call
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponse
+import org.medlarhook.serving.upstream.AttemptFailure
+import org.medlarhook.serving.upstream.AttemptListener
+import org.medlarhook.serving.upstream.BodyFraming
+
+/** For calls whose loss does no harm: what they would free expires by itself. */
+internal object IgnoredAnswer : AttemptListener {
+    override fun onSent() = Unit
+
+    override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) = Unit
+
+    override fun onBody(bytes: ByteBuf) = Unit
+
+    override fun onEnd() = Unit
+
+    override fun onFailure(reason: AttemptFailure, wasSent: Boolean) = Unit
+
+    override fun onAbandoned() = Unit
+}
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PromptAttempt.kt
@@ -0,0 +1,64 @@
+package org.medlarhook.serving.call
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpResponse
+import org.medlarhook.core.serving.place.Demand
+import org.medlarhook.core.serving.place.Placement
+import org.medlarhook.serving.upstream.AttemptFailure
+import org.medlarhook.serving.upstream.AttemptListener
+import org.medlarhook.serving.upstream.BodyFraming
+
+/** Has a prompt read at an engine that keeps its cache for another one. */
+internal class PromptAttempt(
+    private val exchange: Exchange,
+    private val serving: ServingLoop,
+    demand: Demand,
+    private val chosen: Placement.Chosen,
+    sentAtMs: Long,
+) : AttemptListener {
+    private val tracker = AttemptTracker(serving, demand, chosen, sentAtMs, chosen.prefill!!) {}
+    private val body = Unpooled.buffer()
+    private var head: UpstreamHead? = null
+
+    override fun onSent() = Unit
+
+    override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
+        this.head = head
+        tracker.answered(head)
+    }
+
+    override fun onBody(bytes: ByteBuf) {
+        if (body.readableBytes() + bytes.readableBytes() <= MAX_BODY_BYTES) body.writeBytes(bytes)
+    }
+
+    override fun onEnd() {
+        val cacheHandle = if (head?.status == OK) serving.format.readHandle(body) else null
+        body.release()
+        if (cacheHandle == null) {
+            val current = head
+            if (current != null && current.isNotRun) tracker.notRun(current) else tracker.ended(isSound = false)
+            exchange.promptNotRead("prompt_refused")
+        } else {
+            tracker.firstToken()
+            tracker.ended(isSound = true)
+            exchange.promptRead(chosen, cacheHandle)
+        }
+    }
+
+    override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
+        body.release()
+        tracker.failed(wasSent = false)
+        exchange.promptNotRead(reason.name.lowercase())
+    }
+
+    override fun onAbandoned() {
+        if (body.refCnt() > 0) body.release()
+        tracker.abandoned()
+    }
+
+    private companion object {
+        const val OK = 200
+        const val MAX_BODY_BYTES = 4_096
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -6,6 +6,7 @@
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.serving.config.Route
 import org.medlarhook.core.serving.config.ServingConfig
+import org.medlarhook.core.serving.fleet.EngineStage
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
@@ -124,6 +125,7 @@
                 arrivedAtMs = nowMs,
                 finalAtMs = nowMs + waitMs,
                 priority = workspace?.priority ?: route.priority,
+                engine = current.services[service]?.engine,
             ),
         )
     }
@@ -153,6 +155,15 @@
         loads = loads.put(incarnation, change(loads[incarnation] ?: UpstreamLoad(slots)))
     }
 
+    /** The upstreams of [demand]'s service that only read prompts. */
+    fun readers(demand: Demand): List<String> =
+        registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL }.map { it.id }
+
+    /** Frees the cache that [reader] keeps as [cacheHandle]. */
+    fun release(reader: Upstream, cacheHandle: String) {
+        pool.send(reader, null, format.releaseRequest(reader, cacheHandle), mayRepeat = true, IgnoredAnswer)
+    }
+
     /** A request of [demand]'s workspace has begun to run. */
     fun began(demand: Demand) {
         val workspace = demand.workspace ?: return
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
@@ -4,6 +4,7 @@
 import org.medlarhook.core.serving.fleet.Endpoint
 import org.medlarhook.core.serving.place.AffinityPlacer
 import org.medlarhook.core.serving.place.Distances
+import org.medlarhook.core.serving.place.FirstEventPredictor
 import org.medlarhook.core.serving.place.Placer
 
 /**
@@ -24,5 +25,5 @@
     val bounds: ServingBounds,
 ) {
     /** The placement that these settings choose. */
-    internal fun placer(): Placer = AffinityPlacer(Distances(dataCentre, regionByDataCentre))
+    internal fun placer(): Placer = AffinityPlacer(FirstEventPredictor(Distances(dataCentre, regionByDataCentre)))
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import org.medlarhook.serving.call.UpstreamHead
 
-/** Hears what becomes of one attempt. After [onEnd] or [onFailure] nothing more comes. */
+/** Hears what becomes of one attempt. After [onEnd] or [onFailure] only [onAbandoned] may come. */
 internal interface AttemptListener {
     /** The request is on its way: from now on the upstream may run it. */
     fun onSent()
@@ -19,6 +19,9 @@
 
     /** The attempt has failed; [wasSent] says whether the upstream may have run it. */
     fun onFailure(reason: AttemptFailure, wasSent: Boolean)
+
+    /** The attempt was given up; may also come after its end. */
+    fun onAbandoned()
 }
 
 /** How the end of an answer's body is marked. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -177,8 +177,10 @@
 
     /** Ends the attempt; its listener hears nothing more. */
     fun abandon() {
+        if (isAbandoned) return
         isAbandoned = true
         connection?.abandon(listener)
+        listener.onAbandoned()
     }
 
     fun setReading(isReading: Boolean) {
