--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
@@ -9,6 +9,7 @@
  * @property own this process's attempts there that have not ended, by attempt.
  * @property others requests of other processes that run or wait there, a moving mean of what the upstream told.
  * @property toldAtMs when the upstream told its load last.
+ * @property meanPrefillMs the engine's time for a prompt of this process there, a moving mean.
  * @property cache the prompt parts that it is believed to hold.
  * @property speed how long it takes against the model of its engine.
  * @property failures recent failures, for avoiding it.
@@ -18,7 +19,7 @@
     val own: PersistentMap<String, OwnAttempt> = persistentMapOf(),
     val others: Double = 0.0,
     val toldAtMs: Long? = null,
-    val fullUntilMs: Long = Long.MIN_VALUE,
+    val meanPrefillMs: Double = 0.0,
     val cache: PartCache = PartCache(),
     val speed: SpeedRatio = SpeedRatio(),
     val failures: FailureRecord = FailureRecord(),
@@ -29,12 +30,28 @@
         return others * Math.exp(-(ageMs - TRUSTED_MS).coerceAtLeast(0) / DECAY_MS)
     }
 
+    /** Counts an attempt of this process that begins. */
+    public fun sent(key: String, attempt: OwnAttempt): UpstreamLoad =
+        copy(
+            own = own.put(key, attempt),
+            meanPrefillMs = meanPrefillMs + (attempt.prefillMs - meanPrefillMs) * SAMPLE_WEIGHT / MEAN_SAMPLES,
+        )
+
+    /**
+     * The engine's time for all prompts that are believed to be unread there: this process's own, and as many of the
+     * others' requests as of its own, with the mean of its own prompts.
+     */
+    public fun backlogMs(nowMs: Long): Double {
+        val unreadShare = if (own.isEmpty()) 1.0 else own.values.count { it.isUnread }.toDouble() / own.size
+        return ownPrefillMs(nowMs) + othersAt(nowMs) * unreadShare * meanPrefillMs
+    }
+
     /** Requests of all processes that run or wait there. */
     public fun requestsAt(nowMs: Long): Double = own.size + othersAt(nowMs)
 
     /** The engine's time for prompts that this process has sent there and that are not read yet. */
     public fun ownPrefillMs(nowMs: Long): Double {
-        val unread = own.values.filter { !it.hasFirstToken && it.prefillMs > 0 }
+        val unread = own.values.filter { it.isUnread }
         val oldestMs = unread.minOfOrNull { it.sentAtMs } ?: return 0.0
         val total = unread.sumOf { it.prefillMs }
         val first = unread.first { it.sentAtMs == oldestMs }
@@ -52,6 +69,9 @@
         /** Several answers a second come from an upstream in use; their mean tells its load. */
         const val SAMPLE_WEIGHT = 0.4
 
+        /** The mean prompt goes over ten times as many attempts as the mean load over answers. */
+        const val MEAN_SAMPLES = 4.0
+
         /** Until then what was told is taken as it is. */
         const val TRUSTED_MS = 300L
 
@@ -71,4 +91,7 @@
     val prefillMs: Double,
     val decodeMs: Double,
     val hasFirstToken: Boolean = false,
-)
+) {
+    /** True while the engine has a prompt to read for it. */
+    val isUnread: Boolean get() = !hasFirstToken && prefillMs > 0
+}
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
@@ -49,8 +49,7 @@
     private fun alone(generation: GenerationWork, writer: Writer, nowMs: Long): Option {
         val held = writer.load.cache.heldTokens(generation.parts, nowMs).coerceAtMost(generation.promptTokens - 1)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - held, held, writer.upstream.stage)
-        val queueMs = writer.load.ownPrefillMs(nowMs) + writer.load.othersAt(nowMs) * OTHERS_PREFILL_MS
-        val readMs = (queueMs + prefillMs) * INTERLEAVED
+        val readMs = (writer.load.backlogMs(nowMs) + prefillMs) * INTERLEAVED * writer.load.speed.ratio
         val ms = readMs + writer.firstEventMs + distances.roundTripMs(writer.upstream.dataCentre)
         val chosen = Placement.Chosen(writer.upstream, null, held, prefillMs, writer.decodeMs, 0.0, ms)
         val disturbanceMs = prefillMs * DISTURBANCE * writer.load.requestsAt(nowMs)
@@ -100,8 +99,8 @@
     ) {
         val heldTokens = load.cache.heldTokens(generation.parts, nowMs).coerceAtMost(generation.promptTokens - 1)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - heldTokens, heldTokens, upstream.stage)
-        private val queueMs = load.ownPrefillMs(nowMs) + load.othersAt(nowMs) * OTHERS_PREFILL_MS
-        val isFree = queueMs < FREE_QUEUE_MS
+        private val queueMs = load.backlogMs(nowMs) * SHARED_READING
+        val isFree = load.requestsAt(nowMs) < upstream.slots * FREE_SHARE
         val readyMs = (queueMs + prefillMs) * load.speed.ratio + distances.roundTripMs(upstream.dataCentre)
     }
 
@@ -114,10 +113,9 @@
     ) {
         val decodeMs = EngineCost.decodeMs(generation.outputTokens)
         private val requests = load.requestsAt(nowMs)
-        val hasFreePlace = requests + 1 <= upstream.slots
+        val hasFreePlace = requests < upstream.slots * FREE_SHARE
         private val slotMs = (requests + 1 - upstream.slots).coerceAtLeast(0.0) * SLOT_WAIT_MS
-        private val eventTokens = minOf(generation.outputTokens, engine?.tokensPerEvent ?: 1)
-        val firstEventMs = slotMs + EngineCost.decodeMs(eventTokens) * load.speed.ratio
+        val firstEventMs = slotMs + FIRST_TOKEN_MS
     }
 
     private fun Map<Incarnation, UpstreamLoad>.loadOf(upstream: Upstream): UpstreamLoad =
@@ -130,9 +128,6 @@
         /** Spreads calls over upstreams before their slots are full. */
         const val BUSY_PENALTY_MS = 30.0
 
-        /** A mean prompt with its session's part held. */
-        const val OTHERS_PREFILL_MS = 10.0
-
         /** A slot of a full batch becomes free about this often. */
         const val SLOT_WAIT_MS = 20.0
 
@@ -140,7 +135,7 @@
         const val MIN_SPLIT_TOKENS = 1_500
 
         /** Reading between the tokens of other requests takes this much longer. */
-        const val INTERLEAVED = 1.25
+        const val INTERLEAVED = 1.5
 
         /** What a millisecond of reading costs each stream that runs beside it. */
         const val DISTURBANCE = 0.15
@@ -151,7 +146,13 @@
         const val HASH_RANGE = 16_777_216.0
         const val COPY_SETUP_MS = 0.4
 
-        /** A reader with less work than this takes another prompt at once. */
-        const val FREE_QUEUE_MS = 15.0
+        /** Below this share of its slots an engine takes a request whatever is predicted. */
+        const val FREE_SHARE = 0.5
+
+        /** Prompts that are read at once delay each other: those that come later delay one that is being read. */
+        const val SHARED_READING = 1.6
+
+        /** One step of the engine, after the prompt. */
+        const val FIRST_TOKEN_MS = 2.0
     }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/LatenessRule.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/LatenessRule.kt
@@ -1,6 +1,14 @@
 package org.medlarhook.core.serving.place
 
-/** Decides which requests are worth taking on although their answer comes after the objective. */
+/**
+ * Decides which requests are taken on by their predicted first event.
+ *
+ * Answers the load pattern of demand over what the engines can do: a queue that grows past the objective makes every
+ * answer late, while turning away at once keeps those that are taken on in time.
+ *
+ * @param newcomerShare the share of the objective within which a newcomer's first event must be predicted.
+ * @param returningShare the same for one that was refused before.
+ */
 public class LatenessRule(
     private val newcomerShare: Double = NEWCOMER_SHARE,
     private val returningShare: Double = RETURNING_SHARE,
@@ -10,8 +18,8 @@
         val leftMs = demand.finalAtMs - nowMs
         if (firstEventMs > leftMs) return false
         if (demand.generation == null || hasFreePlace) return true
-        if (nowMs + firstEventMs <= demand.objectiveAtMs) return true
-        return firstEventMs <= leftMs * if (demand.isReturning) returningShare else newcomerShare
+        if (firstEventMs <= leftMs * PATIENCE_SHARE) return true
+        return firstEventMs <= demand.route.objectiveMs * if (demand.isReturning) returningShare else newcomerShare
     }
 
     /** The time after which [demand] would be taken on, if the work there is goes down and no more comes. */
@@ -19,10 +27,13 @@
         (firstEventMs - (demand.objectiveAtMs - nowMs).coerceAtLeast(0)).coerceAtLeast(0.0)
 
     private companion object {
-        /** Up to a part of its time a request still gains by waiting; beyond it, its place is worth more to another. */
-        const val NEWCOMER_SHARE = 0.25
+        /** A wait of a tenth of what the caller has left is worth more to it than coming back. */
+        const val PATIENCE_SHARE = 0.1
 
-        /** Leaves a part of the time for the prediction's error. */
-        const val RETURNING_SHARE = 0.7
+        /** Leaves a part of the objective for the prediction's error. */
+        const val NEWCOMER_SHARE = 0.8
+
+        /** One that was refused can't meet the objective any more; it is let in before newcomers. */
+        const val RETURNING_SHARE = 1.2
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/RepeatBudgetTest.kt
@@ -0,0 +1,46 @@
+package org.medlarhook.core.serving
+
+import org.medlarhook.core.serving.retry.RepeatBudget
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+
+class RepeatBudgetTest {
+    private val empty = RepeatBudget(ratio = 0.2, slack = 1.0, windowMs = 10_000)
+
+    private fun RepeatBudget.withRequests(count: Int, nowMs: Long) = (1..count).fold(this) { budget, _ -> budget.requested(nowMs) }
+
+    @Test
+    fun `Given ten requests, then two repeats and the slack are granted`() {
+        var budget: RepeatBudget? = empty.withRequests(10, 0)
+        var granted = 0
+        while (true) budget = budget?.withdraw(100)?.also { granted++ } ?: break
+
+        assertEquals(3, granted)
+    }
+
+    @Test
+    fun `Given a window that has passed, then its requests grant nothing more`() {
+        val spent = empty.withRequests(100, 0).withdraw(0)
+
+        assertNotNull(spent?.withdraw(9_000))
+        assertNotNull(spent.withdraw(20_000))
+        assertNull(spent.withdraw(20_000)?.withdraw(20_000))
+    }
+
+    @Test
+    fun `Given repeats in every part of a long time, then no window holds more than its share`() {
+        var budget = empty
+        val grantedAtMs = ArrayList<Long>()
+        for (nowMs in 0L..60_000L step 50) {
+            budget = budget.requested(nowMs)
+            budget.withdraw(nowMs)?.let {
+                budget = it
+                grantedAtMs += nowMs
+            }
+        }
+
+        grantedAtMs.forEach { end -> assert(grantedAtMs.count { it in end - 9_999..end } <= 200 * 0.2 + 1 + 1) }
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/UsageWindowsTest.kt
@@ -0,0 +1,28 @@
+package org.medlarhook.core.serving
+
+import org.medlarhook.core.serving.usage.UsageWindows
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class UsageWindowsTest {
+    @Test
+    fun `Given requests before the offset is known, then they are put into their windows by it`() {
+        val windows = UsageWindows(5_000).counted("w", 100).counted("w", 4_900).withOffset(10_200)
+
+        assertEquals(mapOf(2L to mapOf("w" to 1L), 3L to mapOf("w" to 1L)), windows.counts)
+    }
+
+    @Test
+    fun `Given requests of two workspaces in one window, then they are counted apart`() {
+        val windows = UsageWindows(5_000).withOffset(0).counted("w", 1).counted("v", 2).counted("w", 3)
+
+        assertEquals(mapOf("w" to 2L, "v" to 1L), windows.counts[0])
+    }
+
+    @Test
+    fun `Given old windows, then they are forgotten`() {
+        val windows = UsageWindows(5_000).withOffset(0).counted("w", 1).counted("w", 20_000).forgetBefore(4)
+
+        assertEquals(setOf(4L), windows.counts.keys)
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -25,7 +25,7 @@
     init {
         val prefillMs = if (isReader || chosen.prefill == null) chosen.prefillMs else 0.0
         val decodeMs = if (isReader) 0.0 else chosen.decodeMs
-        update { it.copy(own = it.own.put(key, OwnAttempt(sentAtMs, prefillMs, decodeMs))) }
+        update { it.sent(key, OwnAttempt(sentAtMs, prefillMs, decodeMs)) }
     }
 
     /** The upstream has told its load. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -64,6 +64,12 @@
     /** Runs until the process is told to stop. */
     public fun run() {
         Runtime.getRuntime().addShutdownHook(Thread({ stop() }, "shutdown"))
+        start()
+        stopped.await()
+    }
+
+    /** Opens the listeners and begins to follow the store. */
+    public fun start() {
         feeds.start()
         callers.open(settings.callers)
         serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
@@ -73,7 +79,6 @@
         Gauge.builder("medlarhook.callers.connections") { lifecycle.openConnections }.register(meters)
         Gauge.builder("medlarhook.upstreams.connections") { serving.pool.openConnections }.register(meters)
         logger.event(LogEvent.PROCESS_STARTED, "process" to settings.process, "callers" to settings.callers)
-        stopped.await()
     }
 
     private fun tick() {
@@ -83,7 +88,7 @@
     }
 
     /** Leaves the balancer, serves what still comes and what runs, and then ends. */
-    private fun stop() {
+    public fun stop() {
         val endAtMs = time.monotonicMs() + settings.bounds.shutdownMs
         val quietAtMs = time.monotonicMs() + LEAVE_BALANCER_MS
         logger.event(LogEvent.DRAIN_STARTED, "inFlight" to serving.requestsInFlight)
@@ -96,6 +101,8 @@
         }
         callers.close()
         logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
+        group.shutdownGracefully(0, LOOP_END_MS, TimeUnit.MILLISECONDS)
+        status.stop()
         stopped.countDown()
     }
 
@@ -108,5 +115,6 @@
         /** The balancer notices after two questions a second apart that the process is leaving. */
         const val LEAVE_BALANCER_MS = 3_500L
         const val POLL_MS = 50L
+        const val LOOP_END_MS = 200L
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/StatusListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/StatusListener.kt
@@ -24,6 +24,10 @@
         server.start(settings.status.host, settings.status.port)
     }
 
+    fun stop() {
+        server.stop()
+    }
+
     private companion object {
         const val HTTP_OK = 200
         const val HTTP_UNAVAILABLE = 503
