--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -17,6 +17,8 @@
     DRAIN_STARTED(102, "Graceful shutdown started"),
     PROCESS_STOPPED(103, "Process stopped"),
     START_FAILED(104, "Process could not start"),
+    WARMED_UP(105, "Sample requests served before callers are let in"),
+    WARM_UP_FAILED(106, "Sample requests could not be served"),
     REQUEST_FINISHED(201, "Request finished"),
     REQUEST_FAILED(202, "Request failed"),
     REQUEST_REFUSED(203, "Request refused"),
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -11,9 +11,14 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** One log line and one measurement for each request. Keys and bodies are never logged. */
+/**
+ * One log line and one measurement for each request. Keys and bodies are never logged.
+ *
+ * @param isQuiet true for the requests of a warm-up, which are nobody's.
+ */
 internal class RequestLog(
     private val registry: MeterRegistry,
+    private val isQuiet: Boolean = false,
 ) {
     private val timers = HashMap<String, Timer>()
 
@@ -46,6 +51,7 @@
                 "parts" to demand?.generation?.parts?.joinToString(",") { "${it.id}:${it.tokens}" },
                 "maxTokens" to demand?.generation?.maxOutputTokens,
             )
+        if (isQuiet) return
         if (outcome is Outcome.Answered) {
             logger.event(LogEvent.REQUEST_FINISHED, *fields)
         } else {
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import org.medlarhook.core.serving.fleet.Endpoint
 import org.medlarhook.serving.call.ServingLoop
+import java.net.InetSocketAddress
 
 /** Accepts callers' connections. */
 internal class CallerListener(
@@ -18,8 +19,9 @@
 ) {
     private var channel: Channel? = null
 
-    fun open(address: Endpoint) {
-        channel =
+    /** Accepts connections at [address] and returns the port. */
+    fun open(address: Endpoint): Int {
+        val opened =
             ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel::class.java)
@@ -39,6 +41,8 @@
                 ).bind(address.host, address.port)
                 .syncUninterruptibly()
                 .channel()
+        channel = opened
+        return (opened.localAddress() as InetSocketAddress).port
     }
 
     fun close() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -9,6 +9,7 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
+import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.ServingLoop
@@ -30,12 +31,13 @@
     public val clock: StoreClock,
     public val reporting: WindowReporting,
     public val time: TimeSource,
+    public val samples: SampleTraffic,
 )
 
 /** One process that serves callers: starts its parts, and stops them in order. */
 public class ServingProcess(
     private val settings: ServingSettings,
-    ports: ServingPorts,
+    private val ports: ServingPorts,
 ) {
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val group = NioEventLoopGroup(1)
@@ -71,6 +73,7 @@
     /** Opens the listeners and begins to follow the store. */
     public fun start() {
         feeds.start()
+        warmUp()
         callers.open(settings.callers)
         serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
         duty.start()
@@ -81,6 +84,15 @@
         logger.event(LogEvent.PROCESS_STARTED, "process" to settings.process, "callers" to settings.callers)
     }
 
+    private fun warmUp() {
+        val begunAtMs = time.monotonicMs()
+        val served =
+            runCatching { WarmUp(group, ports.format, time, settings, ports.samples).run() }
+                .onFailure { logger.warnEvent(LogEvent.WARM_UP_FAILED, "cause" to it.toString()) }
+                .getOrDefault(0)
+        logger.event(LogEvent.WARMED_UP, "requests" to served, "tookMs" to time.monotonicMs() - begunAtMs)
+    }
+
     private fun tick() {
         serving.tick()
         isReady = !lifecycle.isStopping && serving.config != null && serving.registry.all().isNotEmpty()
