--- a/core/src/test/kotlin/org/medlarhook/core/serving/UsageWindowsTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/UsageWindowsTest.kt
@@ -9,14 +9,15 @@
     fun `Given requests before the offset is known, then they are put into their windows by it`() {
         val windows = UsageWindows(5_000).counted("w", 100).counted("w", 4_900).withOffset(10_200)
 
-        assertEquals(mapOf(2L to mapOf("w" to 1L), 3L to mapOf("w" to 1L)), windows.counts)
+        assertEquals(mapOf("w" to 1L), windows.counts[2]?.toMap())
+        assertEquals(mapOf("w" to 1L), windows.counts[3]?.toMap())
     }
 
     @Test
     fun `Given requests of two workspaces in one window, then they are counted apart`() {
         val windows = UsageWindows(5_000).withOffset(0).counted("w", 1).counted("v", 2).counted("w", 3)
 
-        assertEquals(mapOf("w" to 2L, "v" to 1L), windows.counts[0])
+        assertEquals(mapOf("w" to 2L, "v" to 1L), windows.counts[0]?.toMap())
     }
 
     @Test
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -31,6 +31,12 @@
                 end { tracker.notRun(head) }
                 exchange.attemptNotRun(head.isMisdirected)
             }
+            head.isForeignSuccess || head.isEncoded -> {
+                isDropping = true
+                end { tracker.failed(wasSent = true) }
+                handle?.abandon()
+                exchange.attemptFailed(AttemptFailure.UNREADABLE_ANSWER, wasSent = true)
+            }
             head.status >= FIRST_SERVER_ERROR -> {
                 tracker.ran()
                 isDropping = exchange.retryAfterError()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -8,6 +8,7 @@
  * @property isMisdirected true if another upstream has the address now.
  * @property load running, waiting and slots, if told.
  * @property isStream true if events follow.
+ * @property isStamped true if the upstream has marked the answer as its own.
  * @property isEncoded true if the body is not the upstream's own bytes.
  */
 public data class UpstreamHead(
@@ -20,7 +21,15 @@
     val isEncoded: Boolean,
     val isLeaving: Boolean,
     val idleTimeoutMs: Long?,
-)
+    val isStamped: Boolean,
+) {
+    /** True for a success that does not carry the upstream's mark: bytes of a faulty upstream, not its answer. */
+    val isForeignSuccess: Boolean get() = status < FIRST_REDIRECT && !isStamped
+
+    private companion object {
+        const val FIRST_REDIRECT = 300
+    }
+}
 
 /** The load that an upstream tells with an answer. */
 public data class ToldLoad(
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -49,10 +49,13 @@
     private var firstWindow: Long? = null
     private var isHolding = false
 
+    @Volatile
+    private var isStopped = false
+
     /** Runs the duty on a thread of its own. */
     fun start() {
         thread(name = "usage", isDaemon = true) {
-            while (true) {
+            while (!isStopped) {
                 val begunAtMs = time.monotonicMs()
                 step()
                 Thread.sleep((PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS))
@@ -62,6 +65,7 @@
 
     /** Publishes what was counted, and hands the duty back. */
     fun stop() {
+        isStopped = true
         onLoop { serving.usage }?.let { publish(it, time.monotonicMs(), isClosing = true) }
         lease.release()
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -20,9 +20,17 @@
     @Volatile
     private var generation = 0
 
+    private val config = Follower("config", time, ConfigFeed(), ConfigSink())
+    private val registry = Follower("registry", time, RegistryFeed(), RegistrySink())
+
     fun start() {
-        Follower("config", time, ConfigFeed(), ConfigSink()).start()
-        Follower("registry", time, RegistryFeed(), RegistrySink()).start()
+        config.start()
+        registry.start()
+    }
+
+    fun stop() {
+        config.stop()
+        registry.stop()
     }
 
     private inner class ConfigFeed : FeedSource<ConfigRead> {
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Follower.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Follower.kt
@@ -24,17 +24,26 @@
     private var position: Long? = null
     private var isReachable = true
 
+    @Volatile
+    private var isStopped = false
+
     fun start() {
         thread(name = "follow-$name", isDaemon = true) {
-            while (true) step()
+            while (!isStopped) step()
         }
     }
 
+    /** Ends the thread after the call that it is in. */
+    fun stop() {
+        isStopped = true
+    }
+
     private fun step() {
         val generation = sink.generation()
         val begunAtMs = time.monotonicMs()
         val at = position
         val result = if (at == null) source.readAll() else source.await(at, WAIT_MS)
+        if (isStopped) return
         result.fold(
             { failure -> failed(failure) },
             { read ->
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -112,6 +112,7 @@
             Thread.sleep(POLL_MS)
         }
         callers.close()
+        feeds.stop()
         logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
         group.shutdownGracefully(0, LOOP_END_MS, TimeUnit.MILLISECONDS)
         status.stop()
