--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -26,5 +26,6 @@
             System.err.println(it)
             exitProcess(ExitCode.INVALID.status)
         }
+        if (!check) exitProcess(ExitCode.SUCCESS.status)
     }
 }
