--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
@@ -46,6 +46,9 @@
         return ownPrefillMs(nowMs) + othersAt(nowMs) * unreadShare * meanPrefillMs
     }
 
+    /** True while this process has a long output written there. */
+    public fun writesLongOutput(): Boolean = own.values.any { it.decodeMs >= OwnAttempt.LONG_OUTPUT_MS }
+
     /** Requests of all processes that run or wait there. */
     public fun requestsAt(nowMs: Long): Double = own.size + othersAt(nowMs)
 
@@ -94,4 +97,9 @@
 ) {
     /** True while the engine has a prompt to read for it. */
     val isUnread: Boolean get() = !hasFirstToken && prefillMs > 0
+
+    public companion object {
+        /** An output that takes longer than this is a stream whose pauses matter. */
+        public const val LONG_OUTPUT_MS: Double = 400.0
+    }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
@@ -7,6 +7,7 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.load.EngineCost
 import org.medlarhook.core.serving.load.GenerationWork
+import org.medlarhook.core.serving.load.OwnAttempt
 import org.medlarhook.core.serving.load.UpstreamLoad
 
 /** Predicts when the first event of a request, or its answer, would be there at each upstream that could take it. */
@@ -29,8 +30,9 @@
         nowMs: Long,
     ): List<Option> {
         val generation = demand.generation ?: return writers.map { plain(it, loads.loadOf(it), nowMs) }
-        val writing = writers.map { Writer(it, loads.loadOf(it), generation, demand.engine, nowMs) }
-        val alone = writing.map { alone(generation, it, nowMs) }
+        val streaming = StreamingEngines.of(writers)
+        val writing = writers.map { Writer(it, loads.loadOf(it), generation, nowMs) }
+        val alone = writing.map { alone(generation, it, it.upstream.id in streaming, nowMs) }
         if (readers.isEmpty() || generation.promptTokens < MIN_SPLIT_TOKENS) return alone
         val reading = readers.map { Reader(it, loads.loadOf(it), generation, nowMs) }
         return alone + reading.flatMap { reader -> writing.map { split(generation, demand.engine, reader, it) } }
@@ -46,16 +48,30 @@
         return Option(chosen, ms + requests / slots * BUSY_PENALTY_MS, requests < slots)
     }
 
-    private fun alone(generation: GenerationWork, writer: Writer, nowMs: Long): Option {
+    private fun alone(
+        generation: GenerationWork,
+        writer: Writer,
+        isStreaming: Boolean,
+        nowMs: Long,
+    ): Option {
         val held = writer.load.cache.heldTokens(generation.parts, nowMs).coerceAtMost(generation.promptTokens - 1)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - held, held, writer.upstream.stage)
         val readMs = (writer.load.backlogMs(nowMs) + prefillMs) * INTERLEAVED * writer.load.speed.ratio
         val ms = readMs + writer.firstEventMs + distances.roundTripMs(writer.upstream.dataCentre)
         val chosen = Placement.Chosen(writer.upstream, null, held, prefillMs, writer.decodeMs, 0.0, ms)
-        val disturbanceMs = prefillMs * DISTURBANCE * writer.load.requestsAt(nowMs)
-        return Option(chosen, ms + disturbanceMs + homePenalty(generation, writer.upstream, held), writer.hasFreePlace)
+        val penaltyMs =
+            when {
+                writer.decodeMs >= OwnAttempt.LONG_OUTPUT_MS -> if (isStreaming) 0.0 else SCATTER_MS
+                isStreaming || writer.load.writesLongOutput() -> disturbanceMs(readMs, prefillMs)
+                else -> 0.0
+            }
+        return Option(chosen, ms + penaltyMs + homePenalty(generation, writer.upstream, held), writer.hasFreePlace)
     }
 
+    /** What reading a prompt costs the streams of an engine: little, until their pauses grow too long. */
+    private fun disturbanceMs(readMs: Double, prefillMs: Double): Double =
+        if (readMs <= STREAM_SAFE_MS) prefillMs * DISTURBANCE else STREAM_LATE_MS
+
     private fun split(
         generation: GenerationWork,
         engine: EngineSpec?,
@@ -108,7 +124,6 @@
         val upstream: Upstream,
         val load: UpstreamLoad,
         generation: GenerationWork,
-        engine: EngineSpec?,
         nowMs: Long,
     ) {
         val decodeMs = EngineCost.decodeMs(generation.outputTokens)
@@ -137,8 +152,17 @@
         /** Reading between the tokens of other requests takes this much longer. */
         const val INTERLEAVED = 1.5
 
-        /** What a millisecond of reading costs each stream that runs beside it. */
-        const val DISTURBANCE = 0.15
+        /** What a millisecond of reading costs the streams that run beside it. */
+        const val DISTURBANCE = 0.5
+
+        /** Unread work of an engine that stretches the pauses of its streams, but not past what callers accept. */
+        const val STREAM_SAFE_MS = 60.0
+
+        /** A stream that comes late is worth this much of another request's wait. */
+        const val STREAM_LATE_MS = 120.0
+
+        /** Long outputs stay together, so that the other engines can read prompts. */
+        const val SCATTER_MS = 60.0
 
         /** A session that is held nowhere goes to its home unless another is faster by as much. */
         const val HOME_PENALTY_MS = 25.0
--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/AffinityPlacerTest.kt
@@ -0,0 +1,67 @@
+package org.medlarhook.core.serving
+
+import kotlinx.collections.immutable.persistentMapOf
+import org.medlarhook.core.serving.fleet.EngineStage
+import org.medlarhook.core.serving.fleet.Incarnation
+import org.medlarhook.core.serving.load.FailureRecord
+import org.medlarhook.core.serving.load.OwnAttempt
+import org.medlarhook.core.serving.load.UpstreamLoad
+import org.medlarhook.core.serving.place.AffinityPlacer
+import org.medlarhook.core.serving.place.Distances
+import org.medlarhook.core.serving.place.FirstEventPredictor
+import org.medlarhook.core.serving.place.Placement
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+import kotlin.test.assertNotEquals
+import kotlin.test.assertNull
+
+class AffinityPlacerTest {
+    private val placer =
+        AffinityPlacer(FirstEventPredictor(Distances("a", persistentMapOf("a" to "r", "b" to "r", "c" to "far"))))
+    private val reader = upstream("p1") { stage = EngineStage.PREFILL }
+    private val writers = listOf(upstream("d1"), upstream("d2"))
+
+    private fun place(
+        demand: org.medlarhook.core.serving.place.Demand,
+        loads: Map<Incarnation, UpstreamLoad> = emptyMap(),
+        tried: Set<String> = emptySet(),
+    ) = placer.place(demand, writers + reader, loads, tried, demand.arrivedAtMs)
+
+    private fun full(unreadMs: Double): UpstreamLoad =
+        (1..12).fold(UpstreamLoad(12)) { load, i -> load.sent("$i", OwnAttempt(0, unreadMs / 12, 10.0)) }
+
+    @Test
+    fun `Given a long prompt, then it is read at an engine that only reads`() {
+        assertEquals("p1", assertIs<Placement.Chosen>(place(demand())).prefill?.id)
+    }
+
+    @Test
+    fun `Given a short prompt with a long output, then it is read where it is answered, with the other long outputs`() {
+        val chosen = assertIs<Placement.Chosen>(place(demand { promptTokens = 200; outputTokens = 6_000 }))
+
+        assertNull(chosen.prefill)
+        assertEquals("d1", chosen.upstream.id)
+    }
+
+    @Test
+    fun `Given work past the objective everywhere, then a newcomer is turned away and one that came back is not`() {
+        val loads = (writers + reader).associate { it.incarnation to full(unreadMs = 105.0) }
+
+        assertIs<Placement.NoRoom>(place(demand(), loads))
+        assertIs<Placement.Chosen>(place(demand { waitsMs = 1_300 }, loads))
+    }
+
+    @Test
+    fun `Given an engine that has just failed, then another is chosen while there is one`() {
+        val failing = UpstreamLoad(12, failures = FailureRecord().failed(0).failed(0))
+        val chosen = assertIs<Placement.Chosen>(place(demand { promptTokens = 200 }, mapOf(writers[0].incarnation to failing)))
+
+        assertNotEquals("d1", chosen.upstream.id)
+    }
+
+    @Test
+    fun `Given all engines that write were tried, then there is no upstream`() {
+        assertIs<Placement.NoUpstream>(place(demand(), tried = setOf("d1", "d2")))
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -15,6 +15,7 @@
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.place.Placer
+import org.medlarhook.core.serving.refuse.ReturnTime
 import org.medlarhook.core.serving.retry.RepeatBudget
 import org.medlarhook.core.serving.trust.KeyTrust
 import org.medlarhook.core.serving.usage.UsageWindows
@@ -41,6 +42,7 @@
 ) {
     val pool = UpstreamPool(loop, format, time)
     private val random = Random(System.nanoTime())
+    private val returnTime = ReturnTime(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var budgets: PersistentMap<String, RepeatBudget> = persistentMapOf()
     private var peers = 1
@@ -145,7 +147,7 @@
     fun retryAfterMs(demand: Demand, placement: Placement, nowMs: Long): Long {
         val leftMs = demand.finalAtMs - nowMs
         val roomInMs = (placement as? Placement.NoRoom)?.roomInMs ?: RETRY_WITHOUT_UPSTREAM_MS
-        return (roomInMs * random.nextDouble(1.0, 1 + RETRY_SPREAD)).toLong().coerceIn(MIN_RETRY_MS, maxOf(MIN_RETRY_MS, leftMs / 3))
+        return returnTime.waitMs(leftMs, roomInMs)
     }
 
     fun busyRetryAfterMs(demand: Demand): Long =
@@ -223,9 +225,5 @@
         /** A full queue of an upstream has moved on by about this time. */
         const val BUSY_ROOM_MS = 150.0
 
-        /** Spreads those who return, so that they do not come in one wave. */
-        const val RETRY_SPREAD = 0.5
-
-        const val MIN_RETRY_MS = 20L
     }
 }
