--- a/core/src/main/kotlin/org/medlarhook/core/serving/retry/RepeatBudget.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/retry/RepeatBudget.kt
@@ -30,8 +30,8 @@
         return counted(nowMs) { it.copy(repeats = it.repeats + 1) }
     }
 
-    /** Changes this process's share of the slack. */
-    public fun withSlack(slack: Double): RepeatBudget = copy(slack = slack)
+    /** Changes the ratio and this process's share of the slack. */
+    public fun withLimits(ratio: Double, slack: Double): RepeatBudget = copy(ratio = ratio, slack = slack)
 
     private fun counted(nowMs: Long, change: (Counts) -> Counts): RepeatBudget {
         val bucket = bucketOf(nowMs)
--- a/core/src/main/kotlin/org/medlarhook/core/serving/trust/KeyTrust.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/trust/KeyTrust.kt
@@ -24,6 +24,9 @@
             copy(confirmedAtMs = begunAtMs)
         }
 
+    /** Changes the greatest age at which keys are accepted. */
+    public fun withMaxAge(maxAgeMs: Long): KeyTrust = copy(maxAgeMs = maxAgeMs)
+
     /** Compares the clocks; a forward jump of the wall clock may be a suspension. */
     public fun observed(nowMs: Long, wallMs: Long): KeyTrust {
         val gapMs = wallMs - nowMs
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -55,4 +55,5 @@
     REGISTRY_CHANGED(607, "Upstreams changed"),
     REGISTRATION_UNREADABLE(608, "A registration could not be read and names no upstream"),
     SETTINGS_RELOADED(609, "Settings reloaded"),
+    SETTINGS_UNREADABLE(610, "Changed settings could not be read; the last ones stay in force"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -36,7 +36,7 @@
     val loop: EventLoop,
     val format: CallFormat,
     private val time: TimeSource,
-    private val bounds: ServingBounds,
+    private var bounds: ServingBounds,
     private val placer: Placer,
     private val log: RequestLog,
 ) {
@@ -91,7 +91,18 @@
 
     fun setPeers(count: Int) {
         peers = count.coerceAtLeast(1)
-        budgets = budgets.mapBudgets { it.withSlack(bounds.repeatSlack / peers) }
+        limitRepeats()
+    }
+
+    /** Puts changed [newer] bounds in force. */
+    fun updateBounds(newer: ServingBounds) {
+        bounds = newer
+        trust = trust.withMaxAge(newer.keyTrustMs)
+        limitRepeats()
+    }
+
+    private fun limitRepeats() {
+        budgets = budgets.mapBudgets { it.withLimits(bounds.repeatRatio, bounds.repeatSlack / peers) }
     }
 
     /** Regular work: registrations that did not come back, idle connections, and the clocks. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -99,6 +99,16 @@
         if (lifecycle.isStopping) lifecycle.closeIdle()
     }
 
+    /** Puts the bounds of changed settings in force; addresses stay until the next start. */
+    public fun reload(newer: ServingSettings) {
+        serving.loop.execute { serving.updateBounds(newer.bounds) }
+        logger.event(
+            LogEvent.SETTINGS_RELOADED,
+            "bounds" to newer.bounds.toString(),
+            "restartNeeded" to (newer.callers != settings.callers || newer.status != settings.status),
+        )
+    }
+
     /** Leaves the balancer, serves what still comes and what runs, and then ends. */
     public fun stop() {
         val endAtMs = time.monotonicMs() + settings.bounds.shutdownMs
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/WarmUp.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/WarmUp.kt
@@ -155,7 +155,7 @@
         /** Enough for the compiler to have seen the whole path. */
         const val REQUESTS = 250
 
-        /** Starting later than this costs more than a cold start. */
-        const val LIMIT_MS = 1_000L
+        /** After a loss of power callers wait already: starting later than this costs more than a cold start. */
+        const val LIMIT_MS = 400L
     }
 }
