Admit by the prediction as far as it was right, forget cached parts by volume, and call the store less often

Ruled out: engines' speed (predictions are right below full load). What is taken on follows the prediction times its moving geometric error.

--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -13,7 +13,11 @@
 internal class FrontCommand : Subcommand("front", "Serves callers on the users' platform") {
     private val check by option(ArgType.Boolean, "check", description = "Check the settings only").default(false)
 
-    private val train by option(ArgType.Boolean, "train", description = "Start and stop once, for the build").default(false)
+    private val train by option(
+        ArgType.Boolean,
+        "train",
+        description = "Start and stop once, for the build",
+    ).default(false)
 
     override fun execute() {
         val result =
--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/PartCache.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/PartCache.kt
@@ -6,32 +6,37 @@
 /**
  * The prompt parts that an engine is believed to hold, from the requests that this process has sent there.
  *
- * Engines let the least recently used parts yield; what was used longest ago is forgotten here as well.
+ * Engines let the least recently used parts yield. A part is forgotten once the tokens that were read there since its
+ * last use would fill the engine's memory: this process's own, times [SENDERS] for those of other processes.
  */
 public data class PartCache(
-    private val usedAtMs: PersistentMap<String, Long> = persistentMapOf(),
+    private val readAtUse: PersistentMap<String, Long> = persistentMapOf(),
+    private val readTokens: Long = 0,
 ) {
-    /** Tokens at the beginning of a prompt with [parts] that need not be read again. */
-    public fun heldTokens(parts: List<PromptPart>, nowMs: Long): Int =
-        parts.takeWhile { part -> usedAtMs[part.id]?.let { nowMs - it < FORGET_AFTER_MS } == true }.sumOf { it.tokens }
+    /** Tokens at the beginning of a prompt with [parts] that need not be read again by an engine of [memoryTokens]. */
+    public fun heldTokens(parts: List<PromptPart>, memoryTokens: Long): Int =
+        parts.takeWhile { part -> readAtUse[part.id]?.let { isHeld(it, memoryTokens) } == true }.sumOf { it.tokens }
 
     /** Records that the engine has read [parts]. */
-    public fun used(parts: List<PromptPart>, nowMs: Long): PartCache {
-        val updated = parts.fold(usedAtMs) { map, part -> map.put(part.id, nowMs) }
-        return PartCache(if (updated.size > MAX_PARTS) prune(updated, nowMs) else updated)
+    public fun used(parts: List<PromptPart>, memoryTokens: Long): PartCache {
+        val held = heldTokens(parts, memoryTokens)
+        val read = readTokens + parts.sumOf { it.tokens } - held
+        val updated = parts.fold(readAtUse) { map, part -> map.put(part.id, read) }
+        return PartCache(if (updated.size > MAX_PARTS) prune(updated, memoryTokens) else updated, read)
     }
 
-    private fun prune(parts: PersistentMap<String, Long>, nowMs: Long): PersistentMap<String, Long> {
+    private fun isHeld(readAt: Long, memoryTokens: Long): Boolean = (readTokens - readAt) * SENDERS < memoryTokens
+
+    private fun prune(parts: PersistentMap<String, Long>, memoryTokens: Long): PersistentMap<String, Long> {
         val oldestKept = parts.values.sorted()[parts.size - MAX_PARTS / 2]
-        val limitMs = maxOf(oldestKept, nowMs - FORGET_AFTER_MS)
         val builder = parts.builder()
-        parts.forEach { (id, atMs) -> if (atMs < limitMs) builder.remove(id) }
+        parts.forEach { (id, readAt) -> if (readAt < oldestKept || !isHeld(readAt, memoryTokens)) builder.remove(id) }
         return builder.build()
     }
 
     private companion object {
-        /** An engine's memory turns over within tens of seconds at full load. */
-        const val FORGET_AFTER_MS = 30_000L
+        /** Processes that send to an engine, in the mean: those of its data centre and what spills over. */
+        const val SENDERS = 3
 
         /** Bounds this process's memory: parts of an engine's whole cache at 400 tokens a part. */
         const val MAX_PARTS = 2_000
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/AffinityPlacer.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/AffinityPlacer.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.core.serving.fleet.EngineStage
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.fleet.Upstream
+import org.medlarhook.core.serving.load.PredictionError
 import org.medlarhook.core.serving.load.UpstreamLoad
 
 /**
@@ -24,6 +25,7 @@
         candidates: List<Upstream>,
         loads: Map<Incarnation, UpstreamLoad>,
         tried: Set<String>,
+        error: PredictionError,
         nowMs: Long,
     ): Placement {
         val open = candidates.filter { it.id !in tried }
@@ -33,7 +35,8 @@
         if (writers.isEmpty()) return Placement.NoUpstream
         val readers = sound.filter { it.stage == EngineStage.PREFILL }
         val best = predictor.options(demand, writers, readers, loads, nowMs).minBy { it.scoreMs }
-        val mayTake = lateness.mayTake(demand, best.chosen.firstEventMs, best.hasFreePlace, nowMs)
-        return if (mayTake) best.chosen else Placement.NoRoom(lateness.roomInMs(demand, best.chosen.firstEventMs, nowMs))
+        val expectedMs = best.chosen.firstEventMs * maxOf(1.0, error.ratio)
+        val mayTake = lateness.mayTake(demand, expectedMs, best.hasFreePlace, nowMs)
+        return if (mayTake) best.chosen else Placement.NoRoom(lateness.roomInMs(demand, expectedMs, nowMs))
     }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
@@ -2,7 +2,6 @@
 
 import org.medlarhook.core.routing.RendezvousHash
 import org.medlarhook.core.serving.config.EngineSpec
-import org.medlarhook.core.serving.fleet.EngineStage
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.load.EngineCost
@@ -32,9 +31,10 @@
         val generation = demand.generation ?: return writers.map { plain(it, loads.loadOf(it), nowMs) }
         val streaming = StreamingEngines.of(writers)
         val writing = writers.map { Writer(it, loads.loadOf(it), generation, nowMs) }
-        val alone = writing.map { alone(generation, it, it.upstream.id in streaming, nowMs) }
+        val memoryTokens = demand.engine?.cacheTokens ?: 0
+        val alone = writing.map { alone(generation, it, it.upstream.id in streaming, memoryTokens, nowMs) }
         if (readers.isEmpty() || generation.promptTokens < MIN_SPLIT_TOKENS) return alone
-        val reading = readers.map { Reader(it, loads.loadOf(it), generation, nowMs) }
+        val reading = readers.map { Reader(it, loads.loadOf(it), generation, memoryTokens, nowMs) }
         return alone + reading.flatMap { reader -> writing.map { split(generation, demand.engine, reader, it) } }
     }
 
@@ -52,9 +52,13 @@
         generation: GenerationWork,
         writer: Writer,
         isStreaming: Boolean,
+        memoryTokens: Long,
         nowMs: Long,
     ): Option {
-        val held = writer.load.cache.heldTokens(generation.parts, nowMs).coerceAtMost(generation.promptTokens - 1)
+        val held = writer.load.cache.heldTokens(
+            generation.parts,
+            memoryTokens,
+        ).coerceAtMost(generation.promptTokens - 1)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - held, held, writer.upstream.stage)
         val readMs = (writer.load.backlogMs(nowMs) + prefillMs) * INTERLEAVED * writer.load.speed.ratio
         val ms = readMs + writer.firstEventMs + distances.roundTripMs(writer.upstream.dataCentre)
@@ -90,7 +94,11 @@
                 readyMs = reader.readyMs,
                 firstEventMs = ms,
             )
-        return Option(chosen, ms + homePenalty(generation, reader.upstream, reader.heldTokens), writer.hasFreePlace && reader.isFree)
+        return Option(
+            chosen,
+            ms + homePenalty(generation, reader.upstream, reader.heldTokens),
+            writer.hasFreePlace && reader.isFree,
+        )
     }
 
     /** Keeps a session at one engine while it is not known to be held anywhere, alike at all processes. */
@@ -111,9 +119,10 @@
         val upstream: Upstream,
         load: UpstreamLoad,
         generation: GenerationWork,
+        memoryTokens: Long,
         nowMs: Long,
     ) {
-        val heldTokens = load.cache.heldTokens(generation.parts, nowMs).coerceAtMost(generation.promptTokens - 1)
+        val heldTokens = load.cache.heldTokens(generation.parts, memoryTokens).coerceAtMost(generation.promptTokens - 1)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - heldTokens, heldTokens, upstream.stage)
         private val queueMs = load.backlogMs(nowMs) * SHARED_READING
         val isFree = load.requestsAt(nowMs) < upstream.slots * FREE_SHARE
--- a/core/src/test/kotlin/org/medlarhook/core/serving/AffinityPlacerTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/AffinityPlacerTest.kt
@@ -5,6 +5,7 @@
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.load.FailureRecord
 import org.medlarhook.core.serving.load.OwnAttempt
+import org.medlarhook.core.serving.load.PredictionError
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.AffinityPlacer
 import org.medlarhook.core.serving.place.Distances
@@ -26,7 +27,7 @@
         demand: org.medlarhook.core.serving.place.Demand,
         loads: Map<Incarnation, UpstreamLoad> = emptyMap(),
         tried: Set<String> = emptySet(),
-    ) = placer.place(demand, writers + reader, loads, tried, demand.arrivedAtMs)
+    ) = placer.place(demand, writers + reader, loads, tried, PredictionError(), demand.arrivedAtMs)
 
     private fun full(unreadMs: Double): UpstreamLoad =
         (1..12).fold(UpstreamLoad(12)) { load, i -> load.sent("$i", OwnAttempt(0, unreadMs / 12, 10.0)) }
@@ -38,7 +39,14 @@
 
     @Test
     fun `Given a short prompt with a long output, then it is read where it is answered, with the other long outputs`() {
-        val chosen = assertIs<Placement.Chosen>(place(demand { promptTokens = 200; outputTokens = 6_000 }))
+        val chosen = assertIs<Placement.Chosen>(
+            place(
+                demand {
+                    promptTokens = 200
+                    outputTokens = 6_000
+                },
+            ),
+        )
 
         assertNull(chosen.prefill)
         assertEquals("d1", chosen.upstream.id)
@@ -55,7 +63,14 @@
     @Test
     fun `Given an engine that has just failed, then another is chosen while there is one`() {
         val failing = UpstreamLoad(12, failures = FailureRecord().failed(0).failed(0))
-        val chosen = assertIs<Placement.Chosen>(place(demand { promptTokens = 200 }, mapOf(writers[0].incarnation to failing)))
+        val chosen = assertIs<Placement.Chosen>(
+            place(
+                demand { promptTokens = 200 },
+                mapOf(
+                    writers[0].incarnation to failing,
+                ),
+            ),
+        )
 
         assertNotEquals("d1", chosen.upstream.id)
     }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/KeyTrustTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/KeyTrustTest.kt
@@ -24,7 +24,7 @@
     }
 
     @Test
-    fun `Given a suspension that the steady clock does not count, then keys are refused until a read that began after it`() {
+    fun `Given a suspension that the steady clock misses, then keys are refused until a read after it`() {
         val woken = trust.observed(nowMs = 200, wallMs = 1_006_200)
 
         assertFalse(woken.mayAccept(200))
--- a/core/src/test/kotlin/org/medlarhook/core/serving/OverloadReplayTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/OverloadReplayTest.kt
@@ -3,6 +3,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.load.OwnAttempt
+import org.medlarhook.core.serving.load.PredictionError
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.AffinityPlacer
 import org.medlarhook.core.serving.place.Distances
@@ -34,6 +35,7 @@
         val random = Random(seed)
         val placers: List<Placer> = List(PROCESSES) { AffinityPlacer(predictor, rule) }
         val loads = List(PROCESSES) { HashMap<Incarnation, UpstreamLoad>() }
+        val errors = MutableList(PROCESSES) { PredictionError() }
         val freeAtMs = HashMap<Incarnation, Double>()
         val waiting = HashMap<Incarnation, Int>()
         val events = PriorityQueue<Event>(compareBy { it.atMs })
@@ -46,8 +48,12 @@
             val process = random.nextInt(PROCESSES)
             events += Event(arrivedAtMs) {
                 val nowMs = arrivedAtMs.toLong()
-                val demand = demand { this.arrivedAtMs = nowMs; sessionId = "s$number" }
-                val placed = placers[process].place(demand, engines, loads[process], emptySet(), nowMs)
+                val demand = demand {
+                    this.arrivedAtMs = nowMs
+                    sessionId = "s$number"
+                }
+                val known = loads[process]
+                val placed = placers[process].place(demand, engines, known, emptySet(), errors[process], nowMs)
                 if (placed is Placement.Chosen) {
                     val engine = placed.upstream.incarnation
                     val endMs = maxOf(arrivedAtMs, freeAtMs[engine] ?: 0.0) + placed.prefillMs
@@ -58,7 +64,9 @@
                     events += Event(endMs) {
                         val left = waiting.merge(engine, -1, Int::plus)!!
                         val held = loads[process].getValue(engine)
-                        loads[process][engine] = held.copy(own = held.own.remove("$number")).told(left, 0, endMs.toLong())
+                        errors[process] = errors[process].observed(placed.firstEventMs, endMs - arrivedAtMs)
+                        loads[process][engine] =
+                            held.copy(own = held.own.remove("$number")).told(left, 0, endMs.toLong())
                         if (endMs - arrivedAtMs <= demand.route.objectiveMs) good++
                     }
                 }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/RepeatBudgetTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/RepeatBudgetTest.kt
@@ -9,7 +9,9 @@
 class RepeatBudgetTest {
     private val empty = RepeatBudget(ratio = 0.2, slack = 1.0, windowMs = 10_000)
 
-    private fun RepeatBudget.withRequests(count: Int, nowMs: Long) = (1..count).fold(this) { budget, _ -> budget.requested(nowMs) }
+    private fun RepeatBudget.withRequests(count: Int, nowMs: Long) = (1..count).fold(this) { budget, _ ->
+        budget.requested(nowMs)
+    }
 
     @Test
     fun `Given ten requests, then two repeats and the slack are granted`() {
--- a/core/src/test/kotlin/org/medlarhook/core/serving/RouteTableTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/RouteTableTest.kt
@@ -9,9 +9,19 @@
     private val table =
         RouteTable(
             listOf(
-                route { name = "outer"; prefix = "/a/" },
-                route { name = "inner"; prefix = "/a/b/" },
-                route { name = "other"; host = "other.example"; prefix = "/" },
+                route {
+                    name = "outer"
+                    prefix = "/a/"
+                },
+                route {
+                    name = "inner"
+                    prefix = "/a/b/"
+                },
+                route {
+                    name = "other"
+                    host = "other.example"
+                    prefix = "/"
+                },
             ),
         )
 
--- a/core/src/test/kotlin/org/medlarhook/core/serving/ServingBuilders.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/ServingBuilders.kt
@@ -52,7 +52,11 @@
         Upstream(id, bornMs, Endpoint("10.0.0.1", 80), service, dataCentre, slots, isDraining, stage, 0)
 }
 
-internal fun upstream(id: String, build: UpstreamBuilder.() -> Unit = {}): Upstream = UpstreamBuilder(id).apply(build).build()
+internal fun upstream(
+    id: String,
+    build: UpstreamBuilder.() -> Unit = {
+    },
+): Upstream = UpstreamBuilder(id).apply(build).build()
 
 internal class DemandBuilder {
     var route = route()
--- a/core/src/test/kotlin/org/medlarhook/core/serving/UpstreamRegistryTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/UpstreamRegistryTest.kt
@@ -18,7 +18,7 @@
     }
 
     @Test
-    fun `Given a registration that lapsed during an outage, then its upstream is kept until it had time to come back`() {
+    fun `Given a registration that lapsed in an outage, then its upstream is kept until it could be back`() {
         val back = listed.apply(RegistryUpdate.Unreachable, 10).apply(onlyA, 5_000)
 
         assertEquals(listOf("a", "b"), back.ids())
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -53,7 +53,8 @@
             load.copy(
                 own = if (started == null) load.own else load.own.put(key, started),
                 speed = load.speed.observed(predictedMs, observedMs),
-                cache = demand.generation?.let { load.cache.used(it.parts, nowMs) } ?: load.cache,
+                cache =
+                    demand.generation?.let { load.cache.used(it.parts, demand.engine?.cacheTokens ?: 0) } ?: load.cache,
             )
         }
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -50,7 +50,9 @@
     private fun endsBlankLine(index: Int): Boolean {
         val before = pending.getByte(index - 1)
         if (before == LINE_FEED) return true
-        return before == CARRIAGE_RETURN && index - 2 >= pending.readerIndex() && pending.getByte(index - 2) == LINE_FEED
+        return before == CARRIAGE_RETURN &&
+            index - 2 >= pending.readerIndex() &&
+            pending.getByte(index - 2) == LINE_FEED
     }
 
     private fun lastIdIn(events: ByteBuf): Long? {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -30,6 +30,8 @@
     private var runs = 0
     private var mayHaveRun = false
     private var hasBegunToRun = false
+    private var placed: Placement.Chosen? = null
+    private var placedAtMs = 0L
     private var isDone = false
     private val record = ExchangeRecord(call, serving.nowMs())
 
@@ -68,12 +70,17 @@
         val nowMs = serving.nowMs()
         when (val placement = serving.place(demand, tried, nowMs)) {
             is Placement.Chosen -> send(placement, nowMs)
-            is Placement.NoRoom -> giveUp(ResultCode.DEADLINE_UNREACHABLE, serving.retryAfterMs(demand, placement, nowMs))
+            is Placement.NoRoom -> giveUp(
+                ResultCode.DEADLINE_UNREACHABLE,
+                serving.retryAfterMs(demand, placement, nowMs),
+            )
             is Placement.NoUpstream -> giveUp(ResultCode.NO_UPSTREAM, serving.retryAfterMs(demand, placement, nowMs))
         }
     }
 
     private fun send(chosen: Placement.Chosen, nowMs: Long) {
+        placed = chosen
+        placedAtMs = nowMs
         if (chosen.prefill == null) write(chosen, AttemptStep.Whole, nowMs) else read(chosen, chosen.prefill!!, nowMs)
     }
 
@@ -136,9 +143,15 @@
     private fun began() {
         if (hasBegunToRun) return
         hasBegunToRun = true
+        comparePrediction()
         serving.began(demand)
     }
 
+    private fun comparePrediction() {
+        val chosen = placed?.takeIf { demand.generation != null } ?: return
+        serving.firstEventSeen(demand.service, chosen.firstEventMs, (serving.nowMs() - placedAtMs).toDouble())
+    }
+
     /** The upstream states that it has not run the request. */
     fun attemptNotRun(isMisdirected: Boolean) {
         runs--
@@ -152,7 +165,14 @@
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
         when {
-            !wasSent -> if (sends < MAX_SENDS) place() else giveUp(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
+            !wasSent ->
+                if (sends <
+                    MAX_SENDS
+                ) {
+                    place()
+                } else {
+                    giveUp(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
+                }
             demand.route.mayRunAgain && relay?.mayContinue != false -> retryOr { lose() }
             else -> lose()
         }
@@ -199,6 +219,7 @@
         if (isDone) return
         handle?.abandon()
         if (mayHaveRun) serving.timedOut(tried.last())
+        if (!hasBegunToRun) comparePrediction()
         when {
             relay?.hasBegun == true -> lose()
             mayHaveRun -> reject(ResultCode.DEADLINE_EXCEEDED, null)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -11,6 +11,7 @@
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamRegistry
+import org.medlarhook.core.serving.load.PredictionError
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
@@ -45,6 +46,7 @@
     private val returnTime = ReturnTime(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var budgets: PersistentMap<String, RepeatBudget> = persistentMapOf()
+    private var errors: PersistentMap<String, PredictionError> = persistentMapOf()
     private var peers = 1
     private var inFlight = 0
 
@@ -144,7 +146,14 @@
     }
 
     fun place(demand: Demand, tried: Set<String>, nowMs: Long): Placement =
-        placer.place(demand, registry.serving(demand.service), loads, tried, nowMs)
+        placer.place(demand, registry.serving(demand.service), loads, tried, errorOf(demand.service), nowMs)
+
+    /** A first event that was predicted in [predictedMs] has come, or was given up, after [observedMs]. */
+    fun firstEventSeen(service: String, predictedMs: Double, observedMs: Double) {
+        errors = errors.put(service, errorOf(service).observed(predictedMs, observedMs))
+    }
+
+    private fun errorOf(service: String): PredictionError = errors[service] ?: PredictionError()
 
     fun hasAnother(demand: Demand, tried: Set<String>): Boolean =
         registry.serving(demand.service).any { it.id !in tried }
@@ -222,7 +231,9 @@
 
     private fun PersistentMap<String, RepeatBudget>.mapBudgets(
         change: (RepeatBudget) -> RepeatBudget,
-    ): PersistentMap<String, RepeatBudget> = entries.fold(this) { all, (service, budget) -> all.put(service, change(budget)) }
+    ): PersistentMap<String, RepeatBudget> = entries.fold(this) { all, (service, budget) ->
+        all.put(service, change(budget))
+    }
 
     private companion object {
         /** A process that has just started knows its configuration within this time. */
@@ -235,6 +246,5 @@
 
         /** A full queue of an upstream has moved on by about this time. */
         const val BUSY_ROOM_MS = 150.0
-
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -45,9 +45,11 @@
     private val scope = LeaseScope("usage")
     private val lease = LeaseKeeper(scope, process, leaseSettings(bounds), tables, time)
     private val delivered = HashSet<Long>()
+    private val lookBack = maxOf(MIN_LOOK_BACK, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, PublishedWindow>()
     private var firstWindow: Long? = null
     private var isHolding = false
+    private var peersReadIn: Long? = null
 
     @Volatile
     private var isStopped = false
@@ -78,9 +80,9 @@
         lease.run()
         noteHolding()
         val current = usage.windowAt(usage.trueMs(nowMs)!!)
-        val first = firstWindow ?: (current - LOOK_BACK).also { firstWindow = it }
+        val first = firstWindow ?: (current - lookBack).also { firstWindow = it }
         readPeers(current)
-        if (isHolding) (maxOf(first, current - LOOK_BACK)..current - 1).forEach { report(it, usage, nowMs) }
+        if (isHolding) (maxOf(first, current - lookBack)..current - 1).forEach { report(it, usage, nowMs) }
     }
 
     /** Agrees on the offset of true time from the store's clock: the first process to write it decides. */
@@ -88,7 +90,8 @@
         val begunAtMs = time.monotonicMs()
         val storeMs = clock.readMs() ?: return
         val ownOffsetMs = time.wallMs() - storeMs
-        val write = Transaction(listOf(Condition(CLOCK_KEY, Condition.ABSENT)), listOf(Write(CLOCK_KEY, "$ownOffsetMs")))
+        val write =
+            Transaction(listOf(Condition(CLOCK_KEY, Condition.ABSENT)), listOf(Write(CLOCK_KEY, "$ownOffsetMs")))
         tables.transact(write)
         val agreedMs = tables.read(CLOCK_KEY).getOrNull()?.value?.toLongOrNull() ?: return
         val steadyAtReadMs = (begunAtMs + time.monotonicMs()) / 2
@@ -112,13 +115,15 @@
     }
 
     private fun forgetOld(current: Long) {
-        val oldest = current - KEEP_WINDOWS
+        val oldest = current - lookBack - KEEP_WINDOWS
         published.keys.removeIf { it < oldest }
         delivered.removeIf { it < oldest }
         onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
     }
 
     private fun readPeers(current: Long) {
+        if (current == peersReadIn) return
+        peersReadIn = current
         rowsOf(current - 1).onRight { rows ->
             val processes = rows.size
             if (processes > 0) onLoop { serving.setPeers(processes) }
@@ -161,7 +166,11 @@
         val known = tables.read(key).getOrElse { return null }
         val frozen = known?.let { RowJson.decode<FrozenWindow>(it.value) } ?: FrozenWindow(counts)
         val version = known?.version ?: Condition.ABSENT
-        val write = Transaction(listOf(authority.condition(), Condition(key, version)), listOf(Write(key, RowJson.encode(frozen))))
+        val write =
+            Transaction(
+                listOf(authority.condition(), Condition(key, version)),
+                listOf(Write(key, RowJson.encode(frozen))),
+            )
         return tables.transact(write).fold({ null }, { frozen })
     }
 
@@ -204,15 +213,17 @@
         const val WINDOW_DIGITS = 12
 
         /** A kill loses at most this much of a process's count. */
-        const val PERIOD_MS = 1_000L
+        const val PERIOD_MS = 2_000L
         const val MIN_PAUSE_MS = 100L
 
-        /** Windows before the present one that may still be due. */
-        const val LOOK_BACK = 3L
-        const val KEEP_WINDOWS = 8L
+        /** Windows before the present one that may still be due, however long a window is. */
+        const val MIN_LOOK_BACK = 3L
+
+        /** Windows that are kept behind those that may still be due. */
+        const val KEEP_WINDOWS = 5L
 
         /** Rows of a window are closed within one period of its end; the rest covers a slow store. */
-        const val SETTLE_MS = 1_500L
+        const val SETTLE_MS = 2_300L
 
         /** Before a window is late, it goes out with the rows that there are. */
         const val LAST_MOMENT_MS = 3_000L
@@ -227,7 +238,7 @@
                 marginMs = bounds.leaseMs / 10,
                 longestOutwardCallMs = LONGEST_CALL_MS,
                 renewEveryMs = bounds.leaseMs / 3,
-                watchEveryMs = bounds.leaseMs / 3,
+                watchEveryMs = bounds.leaseMs,
                 retryMs = 200,
             )
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -142,7 +142,11 @@
         body = null
         request = null
         keepsOpen = false
-        answer(code.httpStatus, serving.format.ownHeaders(null, null), Unpooled.copiedBuffer("${code.title}\n", Charsets.UTF_8))
+        answer(
+            code.httpStatus,
+            serving.format.ownHeaders(null, null),
+            Unpooled.copiedBuffer("${code.title}\n", Charsets.UTF_8),
+        )
     }
 
     private fun codeOf(cause: Throwable): ResultCode =
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Follower.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Follower.kt
@@ -73,8 +73,8 @@
     }
 
     private companion object {
-        /** Short enough that an age of keys of twice this is far within the bound of a withdrawal. */
-        const val WAIT_MS = 1_000L
+        /** Short enough that an age of keys of twice this is within the bound of a withdrawal, with a second to spare. */
+        const val WAIT_MS = 1_500L
 
         /** Between two tries while the store is away; short against its bounds of seconds. */
         const val RETRY_MS = 150L
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/WarmUp.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/WarmUp.kt
@@ -51,7 +51,9 @@
                 call(port, untilMs)
             } finally {
                 listener.close()
-                serving.loop.submit { serving.updateRegistry(RegistryUpdate.Listing(emptyList())) }.get(LIMIT_MS, TimeUnit.MILLISECONDS)
+                serving.loop.submit {
+                    serving.updateRegistry(RegistryUpdate.Listing(emptyList()))
+                }.get(LIMIT_MS, TimeUnit.MILLISECONDS)
             }
         }
     }
@@ -60,7 +62,17 @@
         val log = RequestLog(SimpleMeterRegistry(), isQuiet = true)
         val serving = ServingLoop(group.next(), format, time, settings.bounds, settings.placer(), log)
         val upstream =
-            Upstream("warm-up", 0, Endpoint(LOOPBACK.hostAddress, upstreamPort), SERVICE, settings.dataCentre, SLOTS, false, null, 0)
+            Upstream(
+                "warm-up",
+                0,
+                Endpoint(LOOPBACK.hostAddress, upstreamPort),
+                SERVICE,
+                settings.dataCentre,
+                SLOTS,
+                false,
+                null,
+                0,
+            )
         serving.loop.submit {
             serving.configure(config())
             serving.updateRegistry(RegistryUpdate.Listing(listOf(upstream)))
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -118,7 +118,11 @@
             HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKED
             response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) -> BodyFraming.LENGTH
             response.status().code() in BODILESS_STATUSES -> BodyFraming.LENGTH
-            response.headers().contains(HttpHeaderNames.CONNECTION, HttpHeaderValues.UPGRADE, true) -> BodyFraming.LENGTH
+            response.headers().contains(
+                HttpHeaderNames.CONNECTION,
+                HttpHeaderValues.UPGRADE,
+                true,
+            ) -> BodyFraming.LENGTH
             else -> BodyFraming.CONNECTION_CLOSE
         }
 
