--- a/sidecar/src/test/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapterTest.kt
+++ b/sidecar/src/test/kotlin/org/medlarhook/sidecar/engine/HttpEngineAdapterTest.kt
@@ -8,8 +8,10 @@
 import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.runtime.settings.EngineSettings
 import org.medlarhook.sidecar.lifecycle.Workers
+import java.net.HttpURLConnection
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.URI
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -29,7 +31,16 @@
     private fun serve(status: Int, body: String): String {
         val engine = Javalin.create { config -> config.routes.post("/<path>") { it.status(status).result(body) } }
         server = engine.start("127.0.0.1", 0)
-        return "http://127.0.0.1:${engine.port()}"
+        val url = "http://127.0.0.1:${engine.port()}"
+        awaitFirstAnswer(url)
+        return url
+    }
+
+    /** A server's first answer comes from cold code, which may take longer than the adapter's silence limit. */
+    private fun awaitFirstAnswer(url: String) {
+        val call = URI("$url/first").toURL().openConnection() as HttpURLConnection
+        call.requestMethod = "POST"
+        call.responseCode
     }
 
     private fun generate(url: String, deadlineMs: Long = 5_000): Either<Failure, EngineEnd> {
@@ -60,7 +71,8 @@
     fun `Given late and crossed lines, then each token comes once and in order`() {
         val lines =
             token(0) + token(1, "other") + token(0) + """{"attemptId":"other","end":"x"}""" + "\n" + token(1) + end
-        assertIs<Either.Right<EngineEnd>>(generate(serve(200, lines)))
+        val result = generate(serve(200, lines))
+        assertIs<Either.Right<EngineEnd>>(result, result.toString())
         assertEquals(listOf(0, 1), received.map { it.index })
     }
 
