Say once what the request path said twice

Two functions of the serving loop did the same (closing idle connections to an upstream), the clocks were compared in two places, held tokens were computed in two, the relay kept a field that only one function used, and a comment gave a wrong number of samples. Behaviour is meant to be unchanged.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
@@ -72,7 +72,7 @@
         /** Several answers a second come from an upstream in use; their mean tells its load. */
         const val SAMPLE_WEIGHT = 0.4
 
-        /** The mean prompt goes over ten times as many attempts as the mean load over answers. */
+        /** The mean prompt goes over four times as many attempts as the mean load over answers. */
         const val MEAN_SAMPLES = 4.0
 
         /** Until then what was told is taken as it is. */
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
@@ -55,10 +55,7 @@
         memoryTokens: Long,
         nowMs: Long,
     ): Option {
-        val held = writer.load.cache.heldTokens(
-            generation.parts,
-            memoryTokens,
-        ).coerceAtMost(generation.promptTokens - 1)
+        val held = heldTokens(generation, writer.load, memoryTokens)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - held, held, writer.upstream.stage)
         val readMs = (writer.load.backlogMs(nowMs) + prefillMs) * INTERLEAVED * writer.load.speed.ratio
         val ms = readMs + writer.firstEventMs + distances.roundTripMs(writer.upstream.dataCentre)
@@ -122,7 +119,7 @@
         memoryTokens: Long,
         nowMs: Long,
     ) {
-        val heldTokens = load.cache.heldTokens(generation.parts, memoryTokens).coerceAtMost(generation.promptTokens - 1)
+        val heldTokens = heldTokens(generation, load, memoryTokens)
         val prefillMs = EngineCost.prefillMs(generation.promptTokens - heldTokens, heldTokens, upstream.stage)
         private val queueMs = load.backlogMs(nowMs) * SHARED_READING
         val isFree = load.requestsAt(nowMs) < upstream.slots * FREE_SHARE
@@ -142,6 +139,10 @@
         val firstEventMs = slotMs + FIRST_TOKEN_MS
     }
 
+    /** Prompt tokens that need not be read; the last one always is. */
+    private fun heldTokens(generation: GenerationWork, load: UpstreamLoad, memoryTokens: Long): Int =
+        load.cache.heldTokens(generation.parts, memoryTokens).coerceAtMost(generation.promptTokens - 1)
+
     private fun Map<Incarnation, UpstreamLoad>.loadOf(upstream: Upstream): UpstreamLoad =
         this[upstream.incarnation] ?: UpstreamLoad(upstream.slots)
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -8,6 +8,7 @@
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
+import java.util.concurrent.Future
 
 /**
  * One request of a caller from its arrival to its final answer. Runs on the event loop only.
@@ -24,7 +25,7 @@
     private lateinit var demand: Demand
     private var handle: AttemptHandle? = null
     private var relay: Relay? = null
-    private var deadline: java.util.concurrent.Future<*>? = null
+    private var deadline: Future<*>? = null
     private val tried = LinkedHashSet<String>()
     private var sends = 0
     private var runs = 0
@@ -157,7 +158,7 @@
         runs--
         mayHaveRun = runs > 0
         record.failed("not_run")
-        if (isMisdirected) serving.misdirected(tried.last())
+        if (isMisdirected) serving.distrustConnections(tried.last())
         retryOr { giveUp(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand)) }
     }
 
@@ -165,14 +166,8 @@
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
         when {
-            !wasSent ->
-                if (sends <
-                    MAX_SENDS
-                ) {
-                    place()
-                } else {
-                    giveUp(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
-                }
+            !wasSent && sends < MAX_SENDS -> place()
+            !wasSent -> giveUp(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
             demand.route.mayRunAgain && relay?.mayContinue != false -> retryOr { lose() }
             else -> lose()
         }
@@ -218,7 +213,7 @@
     private fun onDeadline() {
         if (isDone) return
         handle?.abandon()
-        if (mayHaveRun) serving.timedOut(tried.last())
+        if (mayHaveRun) serving.distrustConnections(tried.last())
         if (!hasBegunToRun) comparePrediction()
         when {
             relay?.hasBegun == true -> lose()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -18,7 +18,6 @@
 ) {
     private var status = 0
     private var headers: HttpHeaders? = null
-    private var isStream = false
     private var endsWithClose = false
     private var splitter: EventSplitter? = null
     private var whole: ByteBuf? = null
@@ -39,9 +38,8 @@
         if (hasBegun) return
         status = head.status
         headers = format.callerHeaders(response)
-        isStream = head.isStream
         endsWithClose = framing == BodyFraming.CONNECTION_CLOSE
-        if (isStream) {
+        if (head.isStream) {
             splitter = splitter ?: EventSplitter()
         } else {
             whole = Unpooled.buffer()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -123,7 +123,7 @@
             if (route.isAnonymous || current.workspaceByKey == null) {
                 null
             } else {
-                trust = trust.observed(nowMs, time.wallMs())
+                observeClocks()
                 val key = call.apiKey ?: return Admission.Rejected(ResultCode.KEY_MISSING, null)
                 if (!trust.mayAccept(nowMs)) return Admission.Rejected(ResultCode.AUTHORITY_UNCERTAIN, RETRY_UNSURE_MS)
                 current.workspaceByKey!![key] ?: return Admission.Rejected(ResultCode.KEY_INVALID, null)
@@ -197,15 +197,11 @@
         usage = change(usage)
     }
 
-    fun misdirected(upstreamId: String) {
+    /** Closes the idle connections to [upstreamId], which went silent or leads to another upstream now. */
+    fun distrustConnections(upstreamId: String) {
         registry.find(upstreamId)?.let { pool.distrust(it.incarnation) }
     }
 
-    fun timedOut(upstreamId: String) {
-        val upstream = registry.find(upstreamId) ?: return
-        pool.distrust(upstream.incarnation)
-    }
-
     fun finished(record: ExchangeRecord, outcome: Outcome) {
         inFlight--
         log.finished(record, outcome, config?.version, trust.confirmedAtMs, nowMs())
