Take over lapsed leases as soon as they may be; count what is served while stopping

Ruled out: readiness (all processes were ready), calls of the platform that failed (no line 601). Now the next read is at the moment of take-over, a lease lasts half of the platform's bound, two processes watch closely and the others seldom, the epoch is read only when needed, and the last counts are published at the end.

--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseKeeper.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseKeeper.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.core.lease
 
 import arrow.core.flatMap
+import arrow.core.right
 import org.medlarhook.ports.TableFailure
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
@@ -68,11 +69,19 @@
             is LeaseAction.Send -> send(action.write)
         }
 
+    /** Reads the lease, and the epoch only if it is needed: most reads are of those who wait. */
     private fun readRows(): LeaseEvent =
         tables
             .read(scope.leaseKey)
-            .flatMap { lease -> tables.read(scope.epochKey).map { LeaseEvent.RowsRead(lease, it, mayTake()) } }
-            .fold({ LeaseEvent.Unreachable }, { it })
+            .flatMap { lease ->
+                val epoch =
+                    if (machine.needsEpoch(state, lease, time.monotonicMs())) {
+                        tables.read(scope.epochKey)
+                    } else {
+                        null.right()
+                    }
+                epoch.map { LeaseEvent.RowsRead(lease, it, mayTake()) }
+            }.fold({ LeaseEvent.Unreachable }, { it })
 
     private fun send(write: LeaseWrite): LeaseEvent =
         tables.transact(write.transaction()).fold(
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
@@ -57,13 +57,24 @@
             is LeaseEvent.Written, is LeaseEvent.Conflicted, is LeaseEvent.OutcomeLost -> LeaseStep(state)
         }
 
+    /** Says whether the epoch row matters beside [lease]: a process that waits needs it only to take a free lease. */
+    public fun needsEpoch(state: LeaseState, lease: Row?, nowMs: Long): Boolean =
+        state !is LeaseState.Watching || isFree(state, lease, nowMs)
+
+    private fun isFree(state: LeaseState.Watching, lease: Row?, nowMs: Long): Boolean {
+        val current = lease?.let { RowJson.decode<LeaseRow>(it.value) }
+        return current == null || current.released || nowMs - sinceMs(state, lease, nowMs) >= settings.takeOverAfterMs
+    }
+
+    private fun sinceMs(state: LeaseState.Watching, lease: Row?, nowMs: Long): Long =
+        state.unchangedSinceMs?.takeIf { lease.versionOrAbsent() == state.seenVersion } ?: nowMs
+
     private fun observed(state: LeaseState.Watching, read: LeaseEvent.RowsRead, nowMs: Long): LeaseStep {
         val version = read.lease.versionOrAbsent()
-        val sinceMs = state.unchangedSinceMs?.takeIf { version == state.seenVersion } ?: nowMs
-        val current = read.lease?.let { RowJson.decode<LeaseRow>(it.value) }
-        val free = current == null || current.released || nowMs - sinceMs >= settings.takeOverAfterMs
-        if (free && read.mayTake) return take(state, read, nowMs)
-        val nextAtMs = nowMs + jitter.spread(settings.watchEveryMs, nowMs)
+        val sinceMs = sinceMs(state, read.lease, nowMs)
+        if (isFree(state, read.lease, nowMs) && read.mayTake) return take(state, read, nowMs)
+        val takeOverAtMs = (sinceMs + settings.takeOverAfterMs).takeIf { it > nowMs } ?: Long.MAX_VALUE
+        val nextAtMs = minOf(nowMs + jitter.spread(settings.watchEveryMs, nowMs), takeOverAtMs)
         return LeaseStep(LeaseState.Watching(version, sinceMs, state.writes, nextAtMs))
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -4,6 +4,7 @@
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.Serializable
+import org.medlarhook.core.lease.LeaseCandidates
 import org.medlarhook.core.lease.LeaseKeeper
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
@@ -31,7 +32,8 @@
  *
  * Every process writes what it has counted to its own row of each window. The holder adds the rows up once all have
  * closed the window, writes the sum to a row that is written once, and delivers that row. A successor delivers the
- * same row again rather than a new sum.
+ * same row again rather than a new sum. A step, the hand-back and the last publication exclude each other by a lock,
+ * inside which the lease takes its own.
  */
 internal class UsageDuty(
     private val process: String,
@@ -48,7 +50,12 @@
     private val lookBack = maxOf(MIN_LOOK_BACK, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, PublishedWindow>()
     private var firstWindow: Long? = null
+    private val stepLock = Any()
     private var isHolding = false
+    private var publishAtMs = 0L
+    private var watchAtMs = 0L
+    private var reportAtMs = 0L
+    private var peers = emptySet<String>()
     private var peersReadIn: Long? = null
 
     @Volatile
@@ -59,30 +66,42 @@
         thread(name = "usage", isDaemon = true) {
             while (!isStopped) {
                 val begunAtMs = time.monotonicMs()
-                step()
+                synchronized(stepLock) { if (!isStopped) step() }
                 Thread.sleep((PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS))
             }
         }
     }
 
-    /** Publishes what was counted, and hands the duty back. */
-    fun stop() {
+    /** Hands the duty back; what is still served is counted and published on. */
+    fun handBack() {
+        synchronized(stepLock) { lease.release() }
+    }
+
+    /** Publishes the last counts, and that there will be no more. */
+    fun finish() {
         isStopped = true
-        onLoop { serving.usage }?.let { publish(it, time.monotonicMs(), isClosing = true) }
-        lease.release()
+        synchronized(stepLock) {
+            onLoop { serving.usage }?.let { publish(it, time.monotonicMs(), isClosing = true) }
+        }
     }
 
     private fun step() {
         val usage = onLoop { serving.usage } ?: return
         if (usage.offsetMs == null) return setClock()
         val nowMs = time.monotonicMs()
-        publish(usage, nowMs, isClosing = false)
-        lease.run()
+        if (nowMs >= publishAtMs) {
+            publish(usage, nowMs, isClosing = false)
+            publishAtMs = nowMs + PUBLISH_EVERY_MS
+        }
+        runLease(nowMs)
         noteHolding()
         val current = usage.windowAt(usage.trueMs(nowMs)!!)
         val first = firstWindow ?: (current - lookBack).also { firstWindow = it }
         readPeers(current)
-        if (isHolding) (maxOf(first, current - lookBack)..current - 1).forEach { report(it, usage, nowMs) }
+        if (isHolding && nowMs >= reportAtMs) {
+            reportAtMs = nowMs + REPORT_EVERY_MS
+            (maxOf(first, current - lookBack)..current - 1).forEach { report(it, usage, nowMs) }
+        }
     }
 
     /** Agrees on the offset of true time from the store's clock: the first process to write it decides. */
@@ -125,11 +144,19 @@
         if (current == peersReadIn) return
         peersReadIn = current
         rowsOf(current - 1).onRight { rows ->
-            val processes = rows.size
-            if (processes > 0) onLoop { serving.setPeers(processes) }
+            peers = rows.keys.map { it.substringAfter('/') }.toSet()
+            if (peers.isNotEmpty()) onLoop { serving.setPeers(peers.size) }
         }
     }
 
+    /** A few processes watch the lease closely; the others, which take over if all of these are lost, seldom. */
+    private fun runLease(nowMs: Long) {
+        val isClose = lease.isEngaged() || LeaseCandidates.isCandidate(scope, process, peers, CANDIDATES)
+        if (!isClose && nowMs < watchAtMs) return
+        watchAtMs = nowMs + bounds.leaseMs
+        lease.run()
+    }
+
     private fun noteHolding() {
         val holds = lease.authority()?.mayAct(time.monotonicMs()) == true
         if (holds != isHolding) {
@@ -145,8 +172,9 @@
     private fun report(window: Long, usage: UsageWindows, nowMs: Long) {
         if (window in delivered) return
         val endedMs = usage.trueMs(nowMs)!! - (window + 1) * bounds.usageWindowMs
+        if (endedMs < SETTLE_MS) return
         val rows = rowsOf(window).getOrElse { return }
-        val isWhole = rows.values.all { it.isClosed } && endedMs >= SETTLE_MS
+        val isWhole = rows.values.all { it.isClosed }
         if (!isWhole && endedMs < bounds.usageLateMs - LAST_MOMENT_MS) return
         val frozen = freeze(window, sum(rows.values)) ?: return
         val authority = lease.authority()?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
@@ -212,8 +240,17 @@
         val CLOCK_KEY = RowKey("clock", "offset")
         const val WINDOW_DIGITS = 12
 
+        /** Between two looks at what is due; a lease that has lapsed is taken over at most this much later. */
+        const val PERIOD_MS = 500L
+
         /** A kill loses at most this much of a process's count. */
-        const val PERIOD_MS = 2_000L
+        const val PUBLISH_EVERY_MS = 2_000L
+
+        /** Between two reads of the windows that are due: a tenth of the time that a report may be late. */
+        const val REPORT_EVERY_MS = 1_000L
+
+        /** Processes that watch the lease closely: one more than the loss of one VM needs. */
+        const val CANDIDATES = 2
         const val MIN_PAUSE_MS = 100L
 
         /** Windows before the present one that may still be due, however long a window is. */
@@ -232,13 +269,17 @@
         /** The slowest call of the duty: a delivery's timeout. */
         const val LONGEST_CALL_MS = 800L
 
+        /**
+         * Half of the platform's bound, so that a successor reports a window that its predecessor had not before it is
+         * late; two changes of the holder still take longer than the bound.
+         */
         fun leaseSettings(bounds: ServingBounds): LeaseSettings =
             LeaseSettings(
-                durationMs = bounds.leaseMs,
-                marginMs = bounds.leaseMs / 10,
+                durationMs = bounds.leaseMs / 2,
+                marginMs = bounds.leaseMs / 20,
                 longestOutwardCallMs = LONGEST_CALL_MS,
-                renewEveryMs = bounds.leaseMs / 3,
-                watchEveryMs = bounds.leaseMs,
+                renewEveryMs = bounds.leaseMs / 6,
+                watchEveryMs = bounds.leaseMs / 3,
                 retryMs = 200,
             )
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -116,13 +116,14 @@
         logger.event(LogEvent.DRAIN_STARTED, "inFlight" to serving.requestsInFlight)
         isReady = false
         serving.loop.execute { lifecycle.isStopping = true }
-        duty.stop()
+        duty.handBack()
         while (time.monotonicMs() < endAtMs) {
             if (time.monotonicMs() >= quietAtMs && serving.requestsInFlight == 0) break
             Thread.sleep(POLL_MS)
         }
         callers.close()
         feeds.stop()
+        duty.finish()
         logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
         group.shutdownGracefully(0, LOOP_END_MS, TimeUnit.MILLISECONDS)
         status.stop()
