--- /dev/null
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/usage/WindowCountsTest.kt
@@ -0,0 +1,46 @@
+package org.medlarhook.core.serving.usage
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class WindowCountsTest {
+    private fun window(vararg counts: Pair<String, ProcessCount>) = WindowCounts(mapOf(*counts))
+
+    private fun count(requests: Long, isClosed: Boolean = true, isLast: Boolean = false) =
+        ProcessCount(mapOf("w" to requests), isClosed, isLast)
+
+    @Test
+    fun `Given a process that is cut off, when it has published the window before, then its count is waited for`() {
+        val before = window("a" to count(1), "b" to count(1))
+
+        assertFalse(window("a" to count(1)).isWhole(listOf(before)))
+        assertTrue(window("a" to count(1), "b" to count(2)).isWhole(listOf(before)))
+    }
+
+    @Test
+    fun `Given a process that said that it ends, then no later count of it is waited for`() {
+        val before = window("a" to count(1), "b" to count(1, isLast = true))
+
+        assertTrue(window("a" to count(1)).isWhole(listOf(before)))
+    }
+
+    @Test
+    fun `Given a process that ended in a window, when an older window names it, then it is not waited for`() {
+        val older = window("a" to count(1), "b" to count(1))
+        val before = window("a" to count(1), "b" to count(1, isLast = true))
+
+        assertTrue(window("a" to count(1)).isWhole(listOf(before, older)))
+    }
+
+    @Test
+    fun `Given a count that is still open, then the window is not whole`() {
+        assertFalse(window("a" to count(1, isClosed = false)).isWhole(emptyList()))
+    }
+
+    @Test
+    fun `Given counts of several processes, then the sum is by workspace`() {
+        assertEquals(mapOf("w" to 5L), window("a" to count(2), "b" to count(3)).sum())
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -9,7 +9,9 @@
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
 import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.usage.ProcessCount
 import org.medlarhook.core.serving.usage.UsageWindows
+import org.medlarhook.core.serving.usage.WindowCounts
 import org.medlarhook.ports.Condition
 import org.medlarhook.ports.RowKey
 import org.medlarhook.ports.TableFailure
@@ -47,8 +49,9 @@
     private val scope = LeaseScope("usage")
     private val lease = LeaseKeeper(scope, process, leaseSettings(bounds), tables, time)
     private val delivered = HashSet<Long>()
+    private val known = HashMap<Long, WindowCounts>()
     private val lookBack = maxOf(MIN_LOOK_BACK, bounds.usageLateMs / bounds.usageWindowMs)
-    private val published = HashMap<Long, PublishedWindow>()
+    private val published = HashMap<Long, ProcessCount>()
     private var firstWindow: Long? = null
     private val stepLock = Any()
     private var isHolding = false
@@ -122,7 +125,11 @@
         val windows = (usage.counts.keys + current + (current - 1)).filter { it <= current }
         val writes =
             windows.mapNotNull { window ->
-                val next = PublishedWindow(usage.counts[window].orEmpty(), isClosed = isClosing || window < current)
+                val next = ProcessCount(
+                    counts = usage.counts[window].orEmpty(),
+                    isClosed = isClosing || window < current,
+                    isLast = isClosing && window == current,
+                )
                 if (published[window] == next) null else window to next
             }
         if (writes.isEmpty()) return
@@ -137,14 +144,15 @@
         val oldest = current - lookBack - KEEP_WINDOWS
         published.keys.removeIf { it < oldest }
         delivered.removeIf { it < oldest }
+        known.keys.removeIf { it < oldest }
         onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
     }
 
     private fun readPeers(current: Long) {
         if (current == peersReadIn) return
         peersReadIn = current
-        rowsOf(current - 1).onRight { rows ->
-            peers = rows.keys.map { it.substringAfter('/') }.toSet()
+        countsOf(current - 1).onRight { counts ->
+            peers = counts.continuing
             if (peers.isNotEmpty()) onLoop { serving.setPeers(peers.size) }
         }
     }
@@ -173,16 +181,25 @@
         if (window in delivered) return
         val endedMs = usage.trueMs(nowMs)!! - (window + 1) * bounds.usageWindowMs
         if (endedMs < SETTLE_MS) return
-        val rows = rowsOf(window).getOrElse { return }
-        val isWhole = rows.values.all { it.isClosed }
+        val counts = countsOf(window).getOrElse { return }
+        val before = (window - WINDOWS_BEFORE..<window).mapNotNull { known[it] ?: countsOf(it).getOrNull() }
+        known[window] = counts
+        val isWhole = counts.isWhole(before)
         if (!isWhole && endedMs < bounds.usageLateMs - LAST_MOMENT_MS) return
-        val frozen = freeze(window, sum(rows.values)) ?: return
+        val frozen = freeze(window, counts.sum()) ?: return
         val authority = lease.authority()?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
         reporting.deliver(window, frozen.counts, process.substringBefore('#'), authority.epoch).fold(
             { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
             {
                 delivered += window
-                logger.event(LogEvent.WINDOW_SENT, "window" to window, "counts" to frozen.counts, "endedMs" to endedMs)
+                logger.event(
+                    LogEvent.WINDOW_SENT,
+                    "window" to window,
+                    "counts" to frozen.counts,
+                    "endedMs" to endedMs,
+                    "processes" to counts.byProcess.size,
+                    "isWhole" to isWhole,
+                )
             },
         )
     }
@@ -202,18 +219,11 @@
         return tables.transact(write).fold({ null }, { frozen })
     }
 
-    private fun rowsOf(window: Long): Either<TableFailure, Map<String, PublishedWindow>> =
+    private fun countsOf(window: Long): Either<TableFailure, WindowCounts> =
         tables.scan(COUNT_TABLE, prefix = "${windowKey(window)}/").map { rows ->
-            rows.associate { it.key.key to RowJson.decode<PublishedWindow>(it.value) }
+            WindowCounts(rows.associate { it.key.key.substringAfter('/') to RowJson.decode<ProcessCount>(it.value) })
         }
 
-    private fun sum(rows: Collection<PublishedWindow>): Map<String, Long> =
-        rows
-            .flatMap { it.counts.entries }
-            .groupBy({ it.key }, { it.value })
-            .mapValues { (_, counts) -> counts.sum() }
-            .toSortedMap()
-
     private fun rowKey(window: Long): RowKey = RowKey(COUNT_TABLE, "${windowKey(window)}/$process")
 
     private fun windowKey(window: Long): String = window.toString().padStart(WINDOW_DIGITS, '0')
@@ -223,12 +233,6 @@
             .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "loop", "cause" to it.toString()) }
             .getOrNull()
 
-    @Serializable
-    private data class PublishedWindow(
-        val counts: Map<String, Long>,
-        val isClosed: Boolean,
-    )
-
     @Serializable
     private data class FrozenWindow(
         val counts: Map<String, Long>,
@@ -256,6 +260,9 @@
         /** Windows before the present one that may still be due, however long a window is. */
         const val MIN_LOOK_BACK = 3L
 
+        /** Windows before one whose processes are waited for: a cut of two windows is noticed. */
+        const val WINDOWS_BEFORE = 2L
+
         /** Windows that are kept behind those that may still be due. */
         const val KEEP_WINDOWS = 5L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/StatusListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/StatusListener.kt
@@ -11,7 +11,8 @@
     private val isReady: () -> Boolean,
     private val dump: () -> String,
 ) {
-    private val server =
+    /** Created when the callers' listener is open: it takes a tenth of a start. */
+    private val server: Javalin by lazy {
         Javalin.create { config ->
             config.startup.showJavalinBanner = false
             config.jetty.threadPool = QueuedThreadPool(MAX_THREADS, MIN_THREADS)
@@ -19,6 +20,7 @@
             config.routes.get("/metrics") { it.contentType(METRICS_TYPE).result(meters.scrape()) }
             config.routes.get("/state") { it.contentType("application/json").result(dump()) }
         }
+    }
 
     fun start() {
         server.start(settings.status.host, settings.status.port)
