Stop without cutting requests: close the listener once the balancer knows

Now the duty is handed back on a thread of its own, the listener is closed when the balancer knows, and the process ends when nothing is left on it.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -25,7 +25,9 @@
 import org.medlarhook.serving.call.ServingLoop
 import org.medlarhook.serving.process.ServingBounds
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
+import kotlin.concurrent.withLock
 
 private val logger = KotlinLogging.logger {}
 
@@ -53,7 +55,7 @@
     private val lookBack = maxOf(MIN_LOOK_BACK, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, ProcessCount>()
     private var firstWindow: Long? = null
-    private val stepLock = Any()
+    private val stepLock = ReentrantLock()
     private var isHolding = false
     private var publishAtMs = 0L
     private var watchAtMs = 0L
@@ -69,7 +71,7 @@
         thread(name = "usage", isDaemon = true) {
             while (!isStopped) {
                 val begunAtMs = time.monotonicMs()
-                synchronized(stepLock) { if (!isStopped) step() }
+                stepLock.withLock { if (!isStopped) step() }
                 Thread.sleep((PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS))
             }
         }
@@ -77,14 +79,20 @@
 
     /** Hands the duty back; what is still served is counted and published on. */
     fun handBack() {
-        synchronized(stepLock) { lease.release() }
+        stepLock.withLock { lease.release() }
     }
 
-    /** Publishes the last counts, and that there will be no more. */
-    fun finish() {
+    /** Publishes the last counts, and that there will be no more; gives up at [endAtMs] if a slow step is under way. */
+    fun finish(endAtMs: Long) {
         isStopped = true
-        synchronized(stepLock) {
+        val waitMs = (endAtMs - time.monotonicMs()).coerceAtLeast(MIN_PAUSE_MS)
+        if (!stepLock.tryLock(waitMs, TimeUnit.MILLISECONDS)) {
+            return logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "last counts", "cause" to "slow store")
+        }
+        try {
             onLoop { serving.usage }?.let { publish(it, time.monotonicMs(), isClosing = true) }
+        } finally {
+            stepLock.unlock()
         }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -20,6 +20,7 @@
 import org.medlarhook.serving.http.Lifecycle
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
 
 private val logger = KotlinLogging.logger {}
 
@@ -109,27 +110,32 @@
         )
     }
 
-    /** Leaves the balancer, serves what still comes and what runs, and then ends. */
+    /**
+     * Leaves the balancer, serves what still comes until that is known, then takes no more connections and ends when
+     * nothing runs. Where too few processes are left, the balancer sends callers here until the listener is closed.
+     */
     public fun stop() {
         val endAtMs = time.monotonicMs() + settings.bounds.shutdownMs
         val quietAtMs = time.monotonicMs() + LEAVE_BALANCER_MS
         logger.event(LogEvent.DRAIN_STARTED, "inFlight" to serving.requestsInFlight)
         isReady = false
         serving.loop.execute { lifecycle.isStopping = true }
-        duty.handBack()
-        while (time.monotonicMs() < endAtMs) {
-            if (time.monotonicMs() >= quietAtMs && serving.requestsInFlight == 0) break
-            Thread.sleep(POLL_MS)
-        }
+        thread(name = "hand-back", isDaemon = true) { duty.handBack() }
+        Thread.sleep(quietAtMs - time.monotonicMs())
         callers.close()
+        while (time.monotonicMs() < endAtMs && isServing()) Thread.sleep(POLL_MS)
         feeds.stop()
-        duty.finish()
+        duty.finish(endAtMs)
         logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
         group.shutdownGracefully(0, LOOP_END_MS, TimeUnit.MILLISECONDS)
         status.stop()
         stopped.countDown()
     }
 
+    /** True while requests run, or connections are open on which one may be on its way. */
+    private fun isServing(): Boolean =
+        serving.requestsInFlight > 0 || serving.loop.submit<Int> { lifecycle.openConnections }.get() > 0
+
     private fun dumpState(): String = serving.loop.submit<String> { StateView.of(serving, lifecycle) }.get()
 
     private companion object {
