Let callers in last at a start; count dropped log lines; metrics on a port that stays

Callers are let in now when the configuration is known, the status server up and the samples served; the usage duty begins a second later.

--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -19,12 +19,14 @@
         description = "Start and stop once, for the build",
     ).default(false)
 
+    private val metricsPort by option(ArgType.Int, "metrics-port", description = "A further port for metrics and state")
+
     override fun execute() {
         val result =
             when {
                 check -> PlatformServing.check()
                 train -> PlatformServing.train()
-                else -> PlatformServing.run()
+                else -> PlatformServing.run(metricsPort)
             }
         result.onLeft {
             System.err.println(it)
--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/CountingAsyncAppender.kt
@@ -0,0 +1,27 @@
+package org.medlarhook.runtime.log
+
+import ch.qos.logback.classic.AsyncAppender
+import ch.qos.logback.classic.spi.ILoggingEvent
+import java.util.concurrent.atomic.LongAdder
+
+/**
+ * An appender that hands lines to a thread of its own, never blocks, and counts the lines that it drops: those of
+ * level info when the queue is nearly full, all others only when it is full.
+ */
+public class CountingAsyncAppender : AsyncAppender() {
+    override fun isDiscardable(
+        event: ILoggingEvent,
+    ): Boolean = super.isDiscardable(event).also { if (it) dropped.increment() }
+
+    override fun append(event: ILoggingEvent) {
+        if (remainingCapacity == 0 && !super.isDiscardable(event)) dropped.increment()
+        super.append(event)
+    }
+
+    public companion object {
+        private val dropped = LongAdder()
+
+        /** Lines dropped since the start of the process. */
+        public val droppedLines: Long get() = dropped.sum()
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -1,12 +1,14 @@
 package org.medlarhook.serving.process
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.FunctionCounter
 import io.micrometer.core.instrument.Gauge
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.nio.NioEventLoopGroup
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
+import org.medlarhook.runtime.log.CountingAsyncAppender
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
@@ -71,20 +73,36 @@
         stopped.await()
     }
 
-    /** Opens the listeners and begins to follow the store. */
+    /**
+     * Begins to follow the store and opens the listeners, that of callers last: whatever else a start has to do would
+     * hold their first requests up on a VM with a part of a core.
+     */
     public fun start() {
         feeds.start()
+        status.start()
+        awaitKnowledge()
         warmUp()
         callers.open(settings.callers)
         serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
-        duty.start()
-        status.start()
+        serving.loop.schedule({ duty.start() }, DUTY_DELAY_MS, TimeUnit.MILLISECONDS)
         Gauge.builder("medlarhook.requests.in.flight") { serving.requestsInFlight }.register(meters)
         Gauge.builder("medlarhook.callers.connections") { lifecycle.openConnections }.register(meters)
         Gauge.builder("medlarhook.upstreams.connections") { serving.pool.openConnections }.register(meters)
+        FunctionCounter
+            .builder("medlarhook.log.lines.dropped", this) { CountingAsyncAppender.droppedLines.toDouble() }
+            .register(meters)
         logger.event(LogEvent.PROCESS_STARTED, "process" to settings.process, "callers" to settings.callers)
     }
 
+    /** Waits for configuration and registrations, unless the store is away. */
+    private fun awaitKnowledge() {
+        val untilMs = time.monotonicMs() + KNOWLEDGE_MS
+        while (time.monotonicMs() < untilMs && !isInformed()) Thread.sleep(KNOWLEDGE_POLL_MS)
+    }
+
+    private fun isInformed(): Boolean =
+        serving.loop.submit<Boolean> { serving.config != null && serving.registry.all().isNotEmpty() }.get()
+
     private fun warmUp() {
         val begunAtMs = time.monotonicMs()
         val served =
@@ -142,6 +160,13 @@
         /** Registrations and idle connections are looked at this often. */
         const val TICK_MS = 100L
 
+        /** A slow store answers within this; if it is away, callers are told so from then on. */
+        const val KNOWLEDGE_MS = 1_500L
+        const val KNOWLEDGE_POLL_MS = 10L
+
+        /** The first steps of the duty run cold code too, and may wait until callers are served. */
+        const val DUTY_DELAY_MS = 1_000L
+
         /** The balancer notices after two questions a second apart that the process is leaving. */
         const val LEAVE_BALANCER_MS = 3_500L
         const val POLL_MS = 50L
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
@@ -13,6 +13,7 @@
  * @property process names one start of this process.
  * @property callers where callers connect.
  * @property status where readiness, metrics and the state dump are served.
+ * @property metricsPort a second port for [status], which stays the same when the platform changes the first, or null.
  * @property readinessPath the path of the readiness check.
  */
 public data class ServingSettings(
@@ -23,6 +24,7 @@
     val status: Endpoint,
     val readinessPath: String,
     val bounds: ServingBounds,
+    val metricsPort: Int? = null,
 ) {
     /** The placement that these settings choose. */
     internal fun placer(): Placer = AffinityPlacer(FirstEventPredictor(Distances(dataCentre, regionByDataCentre)))
