--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/WindowCounts.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/WindowCounts.kt
@@ -17,10 +17,18 @@
     /** True if every process has closed the window, those of the windows [before] included. */
     public fun isWhole(before: List<WindowCounts>): Boolean {
         val ended = before.flatMap { it.ended }.toSet()
-        val awaited = before.flatMap { it.continuing }.toSet() - ended
-        return byProcess.keys.containsAll(awaited) && byProcess.values.all { it.isClosed }
+        val awaited = (before.flatMap { it.continuing } + byProcess.keys).toSet() - ended
+        return awaited.all { byProcess[it]?.isClosed == true || isReplaced(it) }
     }
 
+    /** True if a later start of the same VM's process counts here, so that [process] was killed. */
+    private fun isReplaced(process: String): Boolean =
+        byProcess.keys.any { it != process && nodeOf(it) == nodeOf(process) && startOf(it) > startOf(process) }
+
+    private fun nodeOf(process: String): String = process.substringBefore(START_MARK)
+
+    private fun startOf(process: String): Long = process.substringAfter(START_MARK, "").toLongOrNull() ?: 0
+
     /** The requests of each workspace, of all processes together. */
     public fun sum(): Map<String, Long> =
         byProcess.values
@@ -28,4 +36,9 @@
             .groupBy({ it.key }, { it.value })
             .mapValues { (_, counts) -> counts.sum() }
             .toSortedMap()
+
+    private companion object {
+        /** Stands between the VM's name and the time of the start in the name of a process. */
+        const val START_MARK = '#'
+    }
 }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/usage/WindowCountsTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/usage/WindowCountsTest.kt
@@ -43,4 +43,13 @@
     fun `Given counts of several processes, then the sum is by workspace`() {
         assertEquals(mapOf("w" to 5L), window("a" to count(2), "b" to count(3)).sum())
     }
+
+    @Test
+    fun `Given a process that was killed, when a later start of its VM counts, then it is not waited for`() {
+        val before = window("a#1" to count(1), "b#1" to count(1))
+
+        assertFalse(window("a#1" to count(1, isClosed = false), "b#1" to count(1)).isWhole(listOf(before)))
+        assertFalse(window("b#1" to count(1)).isWhole(listOf(before)))
+        assertTrue(window("a#2" to count(1), "b#1" to count(1)).isWhole(listOf(before)))
+    }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -277,8 +277,8 @@
         /** Rows of a window are closed within one period of its end; the rest covers a slow store. */
         const val SETTLE_MS = 2_300L
 
-        /** Before a window is late, it goes out with the rows that there are. */
-        const val LAST_MOMENT_MS = 3_000L
+        /** Before a window is late, it goes out with the rows that there are; a successor needs about as long. */
+        const val LAST_MOMENT_MS = 4_000L
         const val LOOP_TIMEOUT_MS = 2_000L
 
         /** The slowest call of the duty: a delivery's timeout. */
