--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -13,6 +13,7 @@
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.core.serving.usage.WindowCounts
 import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
 import org.medlarhook.ports.RowKey
 import org.medlarhook.ports.TableFailure
 import org.medlarhook.ports.TableService
@@ -71,7 +72,7 @@
         thread(name = "usage", isDaemon = true) {
             while (!isStopped) {
                 val begunAtMs = time.monotonicMs()
-                stepLock.withLock { if (!isStopped) step() }
+                stepLock.withLock { if (!isStopped) guardedStep() }
                 Thread.sleep((PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS))
             }
         }
@@ -96,6 +97,13 @@
         }
     }
 
+    /** An error in one step must not end the duty for good. */
+    private fun guardedStep() {
+        runCatching { step() }.onFailure {
+            logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage step", "cause" to it.toString())
+        }
+    }
+
     private fun step() {
         val usage = onLoop { serving.usage } ?: return
         if (usage.offsetMs == null) return setClock()
@@ -229,9 +237,16 @@
 
     private fun countsOf(window: Long): Either<TableFailure, WindowCounts> =
         tables.scan(COUNT_TABLE, prefix = "${windowKey(window)}/").map { rows ->
-            WindowCounts(rows.associate { it.key.key.substringAfter('/') to RowJson.decode<ProcessCount>(it.value) })
+            WindowCounts(rows.mapNotNull { row -> countOf(row)?.let { processOf(row) to it } }.toMap())
         }
 
+    private fun processOf(row: Row): String = row.key.key.substringAfter('/')
+
+    private fun countOf(row: Row): ProcessCount? =
+        runCatching { RowJson.decode<ProcessCount>(row.value) }
+            .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "count", "row" to row.key.key) }
+            .getOrNull()
+
     private fun rowKey(window: Long): RowKey = RowKey(COUNT_TABLE, "${windowKey(window)}/$process")
 
     private fun windowKey(window: Long): String = window.toString().padStart(WINDOW_DIGITS, '0')
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -139,7 +139,7 @@
         isReady = false
         serving.loop.execute { lifecycle.isStopping = true }
         thread(name = "hand-back", isDaemon = true) { duty.handBack() }
-        Thread.sleep(quietAtMs - time.monotonicMs())
+        Thread.sleep((quietAtMs - time.monotonicMs()).coerceAtLeast(0))
         callers.close()
         while (time.monotonicMs() < endAtMs && isServing()) Thread.sleep(POLL_MS)
         feeds.stop()
