End the connection of a stream that outlasts the beginning of a stop

Whether a connection stays was decided with the head of an answer, so that one whose stream had begun before the stop stayed and took the next request. The new case of GracefulStopTest failed first.

--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -171,6 +171,7 @@
     }
 
     override fun endStream() {
+        if (lifecycle.isStopping) keepsOpen = false
         val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
         if (!keepsOpen) written.addListener(closing())
     }
