--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageDuty.kt
@@ -300,8 +300,8 @@
         const val LONGEST_CALL_MS = 800L
 
         /**
-         * Half of the platform's bound, so that a successor reports a window that its predecessor had not before it is
-         * late; two changes of the holder still take longer than the bound.
+         * Half of the platform's bound, so that the successor of a lost holder reports what that one had not before it
+         * is late; two holders that are lost one after the other still take longer than the bound.
          */
         fun leaseSettings(bounds: ServingBounds): LeaseSettings =
             LeaseSettings(
