Log a stream that a graceful shutdown cuts off as such, and on which connection a request came

Cause: a request that was cut off at the end of a graceful shutdown was logged as caller_left, and no field told a request on a new connection from one on a kept connection, or that the process was stopping when it arrived. No decision changes.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -20,6 +20,7 @@
     private val serving: ServingLoop,
     val call: CallerCall,
     private val caller: Caller,
+    requestOnConnection: Int,
     private val onDone: () -> Unit,
 ) {
     private lateinit var demand: Demand
@@ -34,7 +35,9 @@
     private var placed: Placement.Chosen? = null
     private var placedAtMs = 0L
     private var isDone = false
-    private val record = ExchangeRecord(call, serving.nowMs())
+    private val record = serving.nowMs().let { nowMs ->
+        ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
+    }
 
     /** Admits and places the request, or refuses it. */
     fun start() {
@@ -62,6 +65,13 @@
         finish(Outcome.CallerDisconnected)
     }
 
+    /** Ends the exchange after the process has closed its connection at the end of a graceful shutdown. */
+    fun cutOffAtShutdown() {
+        if (isDone) return
+        handle?.abandon()
+        finish(Outcome.CutOffAtShutdown)
+    }
+
     /** Pauses reading from the upstream while the connection to the caller is not writable. */
     fun callerWritable(isWritable: Boolean) {
         handle?.setReading(isWritable)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -6,11 +6,15 @@
 /**
  * Collects the fields of a request's log line.
  *
+ * @property requestOnConnection 1 for the first request on its connection.
+ * @property stoppingMs the age of the process's graceful shutdown when the request arrived, or null if there was none.
  * @property isOrphaned true if the caller has left while an attempt of a non-idempotent call continues.
  */
 internal class ExchangeRecord(
     val call: CallerCall,
     val arrivedAtMs: Long,
+    val requestOnConnection: Int,
+    val stoppingMs: Long?,
 ) {
     var demand: Demand? = null
     var retryAfterMs: Long? = null
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Outcome.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Outcome.kt
@@ -17,6 +17,9 @@
     /** The connection was reset after a part of the stream had been delivered. */
     data object Broken : Outcome
 
+    /** The process ended its graceful shutdown before the answer was complete. */
+    data object CutOffAtShutdown : Outcome
+
     /** The caller closed its connection before the answer was complete. */
     data object CallerDisconnected : Outcome
 
@@ -27,6 +30,7 @@
                 is Answered -> if (status < FIRST_ERROR_STATUS) "answered" else "upstream_error"
                 is Refused -> code.name.lowercase()
                 is Broken -> "broken"
+                is CutOffAtShutdown -> "cut_off_at_shutdown"
                 is CallerDisconnected -> "caller_left"
             }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -47,6 +47,8 @@
                 "configAgeMs" to confirmedAtMs?.let { nowMs - it },
                 "attempts" to record.attemptsText,
                 "retryAfterMs" to record.retryAfterMs,
+                "onConnection" to record.requestOnConnection,
+                "stoppingMs" to record.stoppingMs,
                 "promptTokens" to demand?.generation?.promptTokens,
                 "outputTokens" to demand?.generation?.outputTokens,
                 "parts" to demand?.generation?.parts?.joinToString(",") { "${it.id}:${it.tokens}" },
@@ -64,7 +66,7 @@
         when (outcome) {
             is Outcome.Answered -> outcome.status
             is Outcome.Refused -> outcome.code.httpStatus
-            is Outcome.Broken, is Outcome.CallerDisconnected -> null
+            is Outcome.Broken, is Outcome.CutOffAtShutdown, is Outcome.CallerDisconnected -> null
         }
 
     private fun timer(kind: String, outcome: String): Timer =
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -18,6 +18,7 @@
 import org.medlarhook.core.serving.place.Placer
 import org.medlarhook.core.serving.refuse.RetryAfterPolicy
 import org.medlarhook.core.serving.retry.WindowedRetryBudget
+import org.medlarhook.core.serving.shutdown.ShutdownWindow
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
@@ -59,6 +60,10 @@
     var usage = UsageWindows(bounds.usageWindowMs)
         private set
 
+    /** The graceful shutdown of the process, or null before it has begun. */
+    var shutdown: ShutdownWindow? = null
+        private set
+
     /** Requests that have no final answer yet. */
     val requestsInFlight: Int get() = inFlight
 
@@ -111,6 +116,11 @@
         retryBudgets = retryBudgets.mapBudgets { it.withLimits(bounds.repeatRatio, bounds.repeatSlack / processCount) }
     }
 
+    /** Begins the graceful shutdown, from which on each answer closes its connection. */
+    fun beginShutdown(window: ShutdownWindow) {
+        shutdown = window
+    }
+
     /** Periodic work: compares the clocks, and drops expired registrations with their loads and idle connections. */
     fun tick() {
         observeClocks()
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -44,6 +44,7 @@
     private var body: CompositeByteBuf? = null
     private var exchange: Exchange? = null
     private var timer: Future<*>? = null
+    private var requestsRead = 0
     private var isKeepAlive = true
     private var isClosing = false
 
@@ -110,7 +111,7 @@
             fullBody.release()
             return refuse(ResultCode.MALFORMED_REQUEST)
         }
-        val next = Exchange(serving, call, this) { exchangeDone() }
+        val next = Exchange(serving, call, this, ++requestsRead) { exchangeDone() }
         exchange = next
         next.start()
     }
@@ -214,7 +215,7 @@
         isClosing = true
         timer?.cancel(false)
         connections.closed(this)
-        exchange?.callerDisconnected()
+        if (connections.isCuttingOff) exchange?.cutOffAtShutdown() else exchange?.callerDisconnected()
         body?.release()
         body = null
         pipelined.forEach { ReferenceCountUtil.release(it) }
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
@@ -16,7 +16,10 @@
     private val connections = LinkedHashSet<CallerConnection>()
 
     /** True from the beginning of a graceful shutdown: each answer closes its connection. */
-    var isStopping = false
+    val isStopping: Boolean get() = serving.shutdown != null
+
+    /** True once the graceful shutdown is over and the connections that are still open are being closed. */
+    var isCuttingOff = false
 
     val openConnections: Int get() = connections.size
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.nio.NioEventLoopGroup
+import org.medlarhook.core.serving.shutdown.ShutdownWindow
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.CountingAsyncAppender
@@ -134,11 +135,17 @@
      * the listener is closed.
      */
     public fun stop() {
-        val endAtMs = time.monotonicMs() + settings.bounds.shutdownMs
-        val listenerCloseAtMs = time.monotonicMs() + BALANCER_REMOVAL_MS
-        logger.event(LogEvent.DRAIN_STARTED, "inFlight" to serving.requestsInFlight)
+        val startedAtMs = time.monotonicMs()
+        val endAtMs = startedAtMs + settings.bounds.shutdownMs
+        val listenerCloseAtMs = startedAtMs + BALANCER_REMOVAL_MS
+        logger.event(
+            LogEvent.DRAIN_STARTED,
+            "inFlight" to serving.requestsInFlight,
+            "listenerClosesInMs" to BALANCER_REMOVAL_MS,
+            "endsInMs" to settings.bounds.shutdownMs,
+        )
         isReady = false
-        serving.loop.execute { callerConnections.isStopping = true }
+        serving.loop.execute { serving.beginShutdown(ShutdownWindow(startedAtMs, endAtMs)) }
         thread(name = "hand-back", isDaemon = true) { usageReporter.releaseLease() }
         Thread.sleep((listenerCloseAtMs - time.monotonicMs()).coerceAtLeast(0))
         callers.close()
@@ -146,6 +153,7 @@
         feeds.stop()
         usageReporter.finish(endAtMs)
         logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
+        serving.loop.submit { callerConnections.isCuttingOff = true }.await()
         group.shutdownGracefully(0, EVENT_LOOP_SHUTDOWN_MS, TimeUnit.MILLISECONDS)
         status.stop()
         stopped.countDown()
