Admit during a graceful shutdown only what will be complete when it ends

Cause: a stopping process admitted every request until its listener closed, 3.5 s after the signal, and cut off whatever still ran when the grace period ended. Class: work is admitted without comparing its duration with the time that is left. Change: ShutdownAdmission, a function of the demand, what was learned of answers' durations, the shutdown's window and the present time. A request is admitted if its deadline lies within the window, or if twice the longest recent answer does (streams: all the output that the caller allows, at the slowest recent step). Others get 503 with Retry-After 0 while the balancer can't have noticed yet, else a time after which a process is likely to have restarted.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/EngineRates.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/EngineRates.kt
@@ -11,11 +11,13 @@
  * @property prefillStage time for a prompt token at engines of the prefill stage, in milliseconds.
  * @property otherStages the same at the other engines, which decode as well.
  * @property decode time of a decode step, in milliseconds.
+ * @property slowestDecode the same at a loaded engine.
  */
 public data class EngineRates(
     private val prefillStage: RecentQuantile = RecentQuantile(UNLOADED_QUANTILE),
     private val otherStages: RecentQuantile = RecentQuantile(UNLOADED_QUANTILE),
     private val decode: RecentQuantile = RecentQuantile(UNLOADED_QUANTILE),
+    private val slowestDecode: RecentQuantile = RecentQuantile(GREATEST_QUANTILE),
 ) {
     /** The time for a prompt token at an engine of [stage], or null before the first observation. */
     public fun prefillMsPerToken(stage: EngineStage?): Double? =
@@ -28,6 +30,9 @@
     /** The time of a decode step, which yields one token of each request, or null before the first observation. */
     public val decodeStepMs: Double? get() = decode.value
 
+    /** The longest recent time of a decode step, or null before the first observation. */
+    public val slowestDecodeStepMs: Double? get() = slowestDecode.value
+
     /** Records that [tokens] of a prompt were prefilled in [observedMs] at an engine of [stage]. */
     public fun prefilled(tokens: Int, observedMs: Double, stage: EngineStage?): EngineRates {
         if (tokens < MIN_PREFILL_SAMPLE_TOKENS) return this
@@ -40,11 +45,15 @@
     }
 
     /** Records that [tokens], as estimated beforehand, were decoded in [observedMs] after the first token. */
-    public fun decoded(tokens: Int, observedMs: Double): EngineRates =
-        if (tokens < MIN_DECODE_SAMPLE_TOKENS) this else copy(decode = decode.with(observedMs / tokens))
+    public fun decoded(tokens: Int, observedMs: Double): EngineRates {
+        if (tokens < MIN_DECODE_SAMPLE_TOKENS) return this
+        val sample = observedMs / tokens
+        return copy(decode = decode.with(sample), slowestDecode = slowestDecode.with(sample))
+    }
 
     private companion object {
         const val UNLOADED_QUANTILE = 0.25
+        const val GREATEST_QUANTILE = 1.0
 
         /** Engines of the decode stage prefill at half the speed of the prefill stage. */
         const val DECODE_STAGE_FACTOR = 2.0
--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/ServiceEstimates.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/ServiceEstimates.kt
@@ -8,13 +8,21 @@
  *
  * @property error observed time to the first event divided by the predicted time.
  * @property rates the speed of its engines.
+ * @property answers the times of recent complete answers of a plain service, in milliseconds.
  * @property prefixHits how often an unverified shared prefix is found in a cache.
  */
 public data class ServiceEstimates(
     val error: PredictionError = PredictionError(),
     val rates: EngineRates = EngineRates(),
     val prefixHits: PrefixHitShare = PrefixHitShare(),
+    private val answers: RecentQuantile = RecentQuantile(1.0),
 ) {
+    /** The longest recent answer of a plain service in milliseconds, or null before the first one. */
+    public val longestAnswerMs: Double? get() = answers.value
+
+    /** Records a complete answer of a plain service that took [observedMs]. */
+    public fun answered(observedMs: Double): ServiceEstimates = copy(answers = answers.with(observedMs))
+
     /**
      * Records the first event of an attempt that was placed as [chosen] and that prefilled its prompt at an engine of
      * [stage], [observedMs] after it was sent.
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -90,6 +90,9 @@
         val nowMs = serving.nowMs()
         if (isSuccess && !isPrefill && hasFirstToken) decodeObserved(nowMs)
         val observedMs = (nowMs - sentAtMs).toDouble()
+        if (isSuccess && demand.generation == null) {
+            serving.updateEstimates(demand.service) { it.answered(observedMs) }
+        }
         update { load ->
             load.copy(
                 ownAttempts = load.ownAttempts.remove(key),
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -18,6 +18,7 @@
 import org.medlarhook.core.serving.place.Placer
 import org.medlarhook.core.serving.refuse.RetryAfterPolicy
 import org.medlarhook.core.serving.retry.WindowedRetryBudget
+import org.medlarhook.core.serving.shutdown.ShutdownAdmission
 import org.medlarhook.core.serving.shutdown.ShutdownWindow
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
@@ -146,7 +147,7 @@
         val waitMs = minOf(call.remainingMs ?: route.timeoutMs, route.timeoutMs)
         val service = chooseService(route)
         retryBudgets = retryBudgets.put(service, retryBudgetOf(service).requested(atMs))
-        return Admission.Admitted(
+        val demand =
             Demand(
                 route = route,
                 service = service,
@@ -156,8 +157,23 @@
                 deadlineAtMs = atMs + waitMs,
                 priority = workspace?.priority ?: route.priority,
                 engine = current.services[service]?.engine,
-            ),
-        )
+            )
+        return refusalAtShutdown(demand, atMs) ?: Admission.Admitted(demand)
+    }
+
+    private fun refusalAtShutdown(demand: Demand, nowMs: Long): Admission.Refused? {
+        val window = shutdown ?: return null
+        if (ShutdownAdmission.admits(demand, estimatesOf(demand.service), window, nowMs)) return null
+        val retryAfterMs =
+            if (ShutdownAdmission.isBalancerInformed(window, nowMs)) {
+                retryAfterPolicy.retryAfterMs(
+                    demand.deadlineAtMs - nowMs,
+                    (window.endsAtMs - nowMs).coerceAtLeast(0).toDouble(),
+                )
+            } else {
+                0
+            }
+        return Admission.Refused(ResultCode.DRAINING, retryAfterMs)
     }
 
     /** Chooses the upstream of [demand] among those of its service that are not in [tried]. */
