Give requests that a shutdown cuts off their final answer, and reset begun streams

Callers saw: at the end of a graceful shutdown a call's connection closed without an answer, and a stream whose end is the end of its connection looked complete although it was cut off. Cause: the process closed its event loop with requests in flight; nothing ended their exchanges. Change: before the event loop closes, each exchange that still runs ends: 503 if no upstream can have begun it, 502 if one may have, and a reset for a stream that has begun.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -65,10 +65,17 @@
         finish(Outcome.CallerDisconnected)
     }
 
-    /** Ends the exchange after the process has closed its connection at the end of a graceful shutdown. */
+    /** Gives the caller its final answer at the end of a graceful shutdown, or resets a stream that has begun. */
     fun cutOffAtShutdown() {
         if (isDone) return
         handle?.abandon()
+        val code =
+            when {
+                !mayHaveRun -> ResultCode.DRAINING
+                demand.route.mayRunAgain -> ResultCode.UPSTREAM_FAILED
+                else -> ResultCode.OUTCOME_UNKNOWN
+            }
+        if (relay?.hasBegun == true) caller.abort() else answer(code, null)
         finish(Outcome.CutOffAtShutdown)
     }
 
@@ -241,11 +248,15 @@
     }
 
     private fun refuse(code: ResultCode, retryAfterMs: Long?) {
+        answer(code, retryAfterMs)
+        finish(Outcome.Refused(code))
+    }
+
+    private fun answer(code: ResultCode, retryAfterMs: Long?) {
         val headers = serving.format.ownHeaders(call, retryAfterMs)
         val text = Unpooled.copiedBuffer("${code.number} ${code.title}\n", Charsets.UTF_8)
         record.retryAfterMs = retryAfterMs
         caller.answer(code.httpStatus, headers, text)
-        finish(Outcome.Refused(code))
     }
 
     private fun finish(outcome: Outcome) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -202,6 +202,12 @@
         if (exchange == null && request == null && pipelined.isEmpty()) close()
     }
 
+    /** Ends the request on the connection, if there is one, and closes the connection. */
+    fun cutOff() {
+        exchange?.cutOffAtShutdown()
+        if (!isClosing) close()
+    }
+
     private fun close() {
         isClosing = true
         context.close()
@@ -215,7 +221,7 @@
         isClosing = true
         timer?.cancel(false)
         connections.closed(this)
-        if (connections.isCuttingOff) exchange?.cutOffAtShutdown() else exchange?.callerDisconnected()
+        exchange?.callerDisconnected()
         body?.release()
         body = null
         pipelined.forEach { ReferenceCountUtil.release(it) }
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
@@ -18,9 +18,6 @@
     /** True from the beginning of a graceful shutdown: each answer closes its connection. */
     val isStopping: Boolean get() = serving.shutdown != null
 
-    /** True once the graceful shutdown is over and the connections that are still open are being closed. */
-    var isCuttingOff = false
-
     val openConnections: Int get() = connections.size
 
     fun opened(connection: CallerConnection) {
@@ -36,6 +33,11 @@
         connections.toList().forEach { it.closeIfIdle() }
     }
 
+    /** Ends the requests that still run when a graceful shutdown is over, each with its final answer. */
+    fun cutOff() {
+        connections.toList().forEach { it.cutOff() }
+    }
+
     /** The limits of the current configuration. */
     fun limits(): CallerLimits = serving.config?.limits ?: DEFAULT_LIMITS
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -153,7 +153,7 @@
         feeds.stop()
         usageReporter.finish(endAtMs)
         logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
-        serving.loop.submit { callerConnections.isCuttingOff = true }.await()
+        serving.loop.submit { callerConnections.cutOff() }.await()
         group.shutdownGracefully(0, EVENT_LOOP_SHUTDOWN_MS, TimeUnit.MILLISECONDS)
         status.stop()
         stopped.countDown()
