Log the software version of engines, and which stream a request takes up

Change: Upstream.softwareVersion; attempts and 606/607 carry it; fields resumes and lastEventId. No decision changes.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/fleet/Upstream.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/fleet/Upstream.kt
@@ -7,6 +7,7 @@
  * @property stage the phase to which an engine is dedicated; null for an engine that serves both, and for a plain
  * service.
  * @property coldRemainingMs how much longer it is slow after its start.
+ * @property softwareVersion the version of its software, or null if it is not known.
  */
 public data class Upstream(
     val id: String,
@@ -18,6 +19,7 @@
     val isDraining: Boolean,
     val stage: EngineStage?,
     val coldRemainingMs: Long,
+    val softwareVersion: String? = null,
 ) {
     /** Identifies this start of the upstream. */
     val incarnation: Incarnation get() = Incarnation(id, startedAtMs)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/CallerCall.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/CallerCall.kt
@@ -11,6 +11,7 @@
  * @property target path and query as sent.
  * @property remainingMs how long the caller waits, or null if it sets no deadline.
  * @property lastEventId id of the last event that the caller has received, if it resumes a stream.
+ * @property resumedAttemptId the attempt of the caller that brought the stream's first event, if it resumes a stream.
  * @property headers all headers as sent; most are forwarded unchanged.
  * @property body the complete body; the exchange releases it.
  */
@@ -23,6 +24,7 @@
     public val remainingMs: Long?,
     public val generation: GenerationWork?,
     public val lastEventId: Long?,
+    public val resumedAttemptId: String?,
     public val headers: HttpHeaders,
     public val body: ByteBuf,
 ) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.serving.call
 
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
 
@@ -26,8 +27,8 @@
     private var sentAtMs = 0L
 
     /**
-     * Each attempt as `upstream+ms since arrival/predicted ms:cached prompt tokens`, with `<upstream` where the prefix
-     * is fetched from another one, `(read)` after a prefill and `!reason` where it failed.
+     * Each attempt as `upstream@version+ms since arrival/predicted ms:cached prompt tokens`, with `<upstream` where the
+     * prefix is fetched from another one, `(read)` after a prefill and `!reason` where it failed.
      */
     val attemptsText: String get() = attempts.joinToString(" ")
 
@@ -38,12 +39,15 @@
         sentAtMs = nowMs
         val source = if (chosen.prefill == null) sourceText(chosen) else ""
         attempts +=
-            "${chosen.upstream.id}+${nowMs - arrivedAtMs}/${chosen.firstEventMs.toLong()}:${chosen.cachedTokens}$source"
+            "${textOf(chosen.upstream)}+${nowMs - arrivedAtMs}/${chosen.firstEventMs.toLong()}:" +
+            "${chosen.cachedTokens}$source"
     }
 
     fun prefillSent(chosen: Placement.Chosen, nowMs: Long) {
         sentAtMs = nowMs
-        val text = "${chosen.prefill?.id}+${nowMs - arrivedAtMs}/${chosen.readyMs.toLong()}:${chosen.cachedTokens}"
+        val text = "${chosen.prefill?.let {
+            textOf(it)
+        }}+${nowMs - arrivedAtMs}/${chosen.readyMs.toLong()}:${chosen.cachedTokens}"
         attempts += "$text${sourceText(chosen)}(read)"
     }
 
@@ -51,5 +55,7 @@
         if (attempts.isNotEmpty()) attempts[attempts.size - 1] += "!$reason"
     }
 
+    private fun textOf(upstream: Upstream): String = "${upstream.id}@${upstream.softwareVersion ?: "?"}"
+
     private fun sourceText(chosen: Placement.Chosen): String = chosen.prefix?.source?.let { "<${it.id}" }.orEmpty()
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -47,6 +47,8 @@
                 "configAgeMs" to confirmedAtMs?.let { nowMs - it },
                 "attempts" to record.attemptsText,
                 "retryAfterMs" to record.retryAfterMs,
+                "resumes" to record.call.resumedAttemptId,
+                "lastEventId" to record.call.lastEventId,
                 "onConnection" to record.requestOnConnection,
                 "stoppingMs" to record.stoppingMs,
                 "promptTokens" to demand?.generation?.promptTokens,
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -95,13 +95,18 @@
                 is RegistryUpdate.Listing ->
                     logger.event(
                         LogEvent.REGISTRY_LISTED,
-                        "upstreams" to update.upstreams.map { "${it.id}@${it.address} ${it.service} ${it.stage}" },
+                        "upstreams" to
+                            update.upstreams.map {
+                                "${it.id}@${it.address} ${it.service} ${it.stage} ${it.softwareVersion}"
+                            },
                     )
                 is RegistryUpdate.Changes ->
                     if (update.written.isNotEmpty() || update.removedIds.isNotEmpty()) {
                         logger.event(
                             LogEvent.REGISTRY_CHANGED,
-                            "written" to update.written.map { "${it.id}@${it.address} draining=${it.isDraining}" },
+                            "written" to update.written.map {
+                                "${it.id}@${it.address} ${it.softwareVersion} draining=${it.isDraining}"
+                            },
                             "removed" to update.removedIds,
                         )
                     }
