Go on with a broken stream only at the software version that began it

Cause: an exchange that resumed a broken stream placed it like a new request, at any engine of the service; the software version of an engine was not known to any decision. Class: a decision that ignores a property which its input carries. Change: a demand has a StreamOrigin. As soon as an event has reached the caller, only engines of the version that made it may go on; if that version is unknown, none may. The check for an untried engine follows the same rule, so that no retry is taken from the budget for nothing. The two tests over a caller's tries still fail.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.core.serving.config.EngineSpec
 import org.medlarhook.core.serving.config.Route
 import org.medlarhook.core.serving.load.GenerationWork
+import org.medlarhook.core.serving.resume.StreamOrigin
 
 /**
  * A request that needs an upstream.
@@ -14,6 +15,7 @@
  * @property deadlineAtMs when it gets its final answer at the latest, by the caller's or the route's limit.
  * @property priority 0 is the most urgent.
  * @property engine the capacity of the service's engines, or null for a plain service.
+ * @property origin where its stream has begun, which limits the upstreams that may go on with it.
  */
 public data class Demand(
     val route: Route,
@@ -24,6 +26,7 @@
     val deadlineAtMs: Long,
     val priority: Int,
     val engine: EngineSpec? = null,
+    val origin: StreamOrigin = StreamOrigin.NotBegun,
 ) {
     /**
      * True if the caller retries after a refusal, which shows in a deadline clearly shorter than the route's time-out.
--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamOrigin.kt
@@ -0,0 +1,31 @@
+package org.medlarhook.core.serving.resume
+
+import org.medlarhook.core.serving.fleet.Upstream
+
+/** Where the stream of a request has begun. What two software versions write does not fit together in one stream. */
+public sealed interface StreamOrigin {
+    /** Returns true if [upstream] may begin the stream or go on with it. */
+    public fun permits(upstream: Upstream): Boolean
+
+    /** No event has reached the caller, so that any upstream may begin the stream. */
+    public data object NotBegun : StreamOrigin {
+        override fun permits(upstream: Upstream): Boolean = true
+    }
+
+    /** The stream has begun at an upstream with [softwareVersion]. */
+    public data class BegunAt(
+        val softwareVersion: String,
+    ) : StreamOrigin {
+        override fun permits(upstream: Upstream): Boolean = upstream.softwareVersion == softwareVersion
+    }
+
+    /** The stream has begun at a version that is not known, so that no upstream may go on with it. */
+    public data object Unknown : StreamOrigin {
+        override fun permits(upstream: Upstream): Boolean = false
+    }
+
+    public companion object {
+        /** The origin of a stream that began at an upstream with [softwareVersion], or null if that is not known. */
+        public fun of(softwareVersion: String?): StreamOrigin = softwareVersion?.let { BegunAt(it) } ?: Unknown
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -50,6 +50,7 @@
         if (isDiscarding) return
         if (head?.isStream == true) tracker.firstTokenReceived() else tracker.runStarted()
         relay.body(bytes)
+        if (relay.hasBegun) exchange.eventsDelivered()
         handle?.setReading(relay.isCallerWritable)
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -6,6 +6,7 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
+import org.medlarhook.core.serving.resume.StreamOrigin
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
 import java.util.concurrent.Future
@@ -163,6 +164,12 @@
         possibleRuns++
     }
 
+    /** Records that an event has reached the caller: from now on only the same software version may go on. */
+    fun eventsDelivered() {
+        if (demand.origin != StreamOrigin.NotBegun) return
+        demand = demand.copy(origin = StreamOrigin.of(placed?.upstream?.softwareVersion))
+    }
+
     private fun runStarted() {
         if (hasRunStarted) return
         hasRunStarted = true
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -176,9 +176,13 @@
         return Admission.Refused(ResultCode.DRAINING, retryAfterMs)
     }
 
-    /** Chooses the upstream of [demand] among those of its service that are not in [tried]. */
+    /** Chooses the upstream of [demand] among those that may serve it and are not in [tried]. */
     fun place(demand: Demand, tried: Set<String>, nowMs: Long): Placement =
-        placer.place(demand, registry.serving(demand.service), loads, tried, estimatesOf(demand.service), nowMs)
+        placer.place(demand, candidates(demand), loads, tried, estimatesOf(demand.service), nowMs)
+
+    /** The engines of the prefill stage only prepare a prompt, so that their version does not matter. */
+    private fun candidates(demand: Demand): List<Upstream> =
+        registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL || demand.origin.permits(it) }
 
     /** Records that a first event predicted in [predictedMs] came, or was no longer awaited, after [observedMs]. */
     fun firstEventObserved(service: String, predictedMs: Double, observedMs: Double) {
@@ -192,9 +196,9 @@
 
     private fun estimatesOf(service: String): ServiceEstimates = estimates[service] ?: ServiceEstimates()
 
-    /** True if the service of [demand] has an upstream that is not in [tried]. */
+    /** True if an upstream that may serve [demand] is not in [tried]. */
     fun hasUntriedUpstream(demand: Demand, tried: Set<String>): Boolean =
-        registry.serving(demand.service).any { it.id !in tried }
+        candidates(demand).any { it.id !in tried && it.stage != EngineStage.PREFILL }
 
     /** Takes one retry from the budget of [service], or returns false if none is left. */
     fun withdrawRetry(service: String, nowMs: Long): Boolean {
