Let a caller take up a stream only at the software version that began it

Cause: a request with Last-Event-Id was placed like a new one; the attempt that it names in Resumes was not read. A stream goes on at its recorded version, else at the only version that the service had for as long as a stream can last; else it is refused as not run (2012), because a guess could join two versions.

--- a/core/src/test/kotlin/org/medlarhook/core/serving/ServingBuilders.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/ServingBuilders.kt
@@ -50,9 +50,21 @@
     var slots = 12
     var isDraining = false
     var stage: EngineStage? = EngineStage.DECODE
+    var softwareVersion: String? = null
 
     fun build(): Upstream =
-        Upstream(id, startedAtMs, Endpoint("10.0.0.1", 80), service, dataCentre, slots, isDraining, stage, 0)
+        Upstream(
+            id,
+            startedAtMs,
+            Endpoint("10.0.0.1", 80),
+            service,
+            dataCentre,
+            slots,
+            isDraining,
+            stage,
+            0,
+            softwareVersion,
+        )
 }
 
 internal fun upstream(
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -45,14 +45,17 @@
         when (val admission = serving.admit(call)) {
             is Admission.Refused -> refuse(admission.code, admission.retryAfterMs)
             is Admission.Admitted -> {
-                demand = admission.demand
+                demand = admission.demand.copy(origin = serving.origins.find(call, admission.demand, serving.nowMs()))
                 record.demand = demand
                 deadline = serving.schedule(demand.deadlineAtMs) { onDeadline() }
-                place()
+                if (demand.origin == StreamOrigin.Unknown) refuseUnknownOrigin() else place()
             }
         }
     }
 
+    /** Another process may know where the stream began. */
+    private fun refuseUnknownOrigin() = refuse(ResultCode.STREAM_ORIGIN_UNKNOWN, RETRY_ELSEWHERE_MS)
+
     /** Ends the exchange after the caller has closed its connection. A non-idempotent call goes on at the upstream. */
     fun callerDisconnected() {
         if (isDone) return
@@ -167,7 +170,9 @@
     /** Records that an event has reached the caller: from now on only the same software version may go on. */
     fun eventsDelivered() {
         if (demand.origin != StreamOrigin.NotBegun) return
-        demand = demand.copy(origin = StreamOrigin.of(placed?.upstream?.softwareVersion))
+        val softwareVersion = placed?.upstream?.softwareVersion
+        demand = demand.copy(origin = StreamOrigin.of(softwareVersion))
+        serving.origins.began(call, demand, softwareVersion, serving.nowMs())
     }
 
     private fun runStarted() {
@@ -280,6 +285,8 @@
         /** Limits the upstreams to which one request is sent, including those that did not run it. */
         const val MAX_ATTEMPTS_SENT = 4
 
+        const val RETRY_ELSEWHERE_MS = 100L
+
         /** With less time left, no upstream would answer a retry before the deadline. */
         const val MIN_RETRY_MS = 50L
     }
