Tell and ask other processes at which software version streams began

Change: processes exchange datagrams on the platform's internal ports. While a service may have several versions, each tells two others of the resumable streams that begin; a process asks all others for a stream that it does not know, for 150 ms at most. Addresses are published with the usage counts.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/fleet/Upstream.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/fleet/Upstream.kt
@@ -37,6 +37,17 @@
     val port: Int,
 ) {
     override fun toString(): String = "$host:$port"
+
+    public companion object {
+        private const val MAX_PORT = 65_535
+
+        /** Parses `HOST:PORT`; returns null if there is no host or the port is not between 1 and 65,535. */
+        public fun parse(text: String): Endpoint? {
+            val port = text.substringAfterLast(':', "").toIntOrNull() ?: return null
+            val host = text.substringBeforeLast(':')
+            return if (host.isEmpty() || port !in 1..MAX_PORT) null else Endpoint(host, port)
+        }
+    }
 }
 
 /** A phase of a generation. */
--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/ProcessCount.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/ProcessCount.kt
@@ -6,6 +6,7 @@
  * The requests that one process has counted in one window, by workspace, as the process publishes them.
  *
  * @property isClosed true if the process counts no further request in this window.
+ * @property peer the address on which other processes reach it, as `host:port`, or null if it has none.
  * @property isLast true if the process has ended and publishes no later window.
  */
 @Serializable
@@ -13,4 +14,5 @@
     val counts: Map<String, Long>,
     val isClosed: Boolean,
     val isLast: Boolean = false,
+    val peer: String? = null,
 )
--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/WindowCounts.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/WindowCounts.kt
@@ -1,5 +1,7 @@
 package org.medlarhook.core.serving.usage
 
+import org.medlarhook.core.serving.fleet.Endpoint
+
 /**
  * The counts of one window, by process.
  *
@@ -13,6 +15,10 @@
     /** The processes that are expected to publish a count of the next window. */
     public val continuing: Set<String> get() = byProcess.filterValues { !it.isLast }.keys
 
+    /** The addresses of these processes, as far as they have published one that can be read. */
+    public val peers: List<Endpoint> get() =
+        byProcess.filterValues { !it.isLast }.values.mapNotNull { count -> count.peer?.let { Endpoint.parse(it) } }
+
     private val ended: Set<String> get() = byProcess.keys - continuing
 
     /** True if every process has closed the window, including the processes of the [earlier] windows. */
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -56,4 +56,6 @@
     REGISTRATION_UNREADABLE(608, "Registration could not be read; its upstream is ignored"),
     SETTINGS_RELOADED(609, "Settings reloaded"),
     SETTINGS_UNREADABLE(610, "Changed settings could not be read; the previous ones stay in force"),
+    PEERS_UNREACHABLE(616, "Other processes can't be reached; streams that they began are not taken up"),
+    PEER_MESSAGE_UNREADABLE(617, "Message of another process could not be read; it is ignored"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -45,16 +45,23 @@
         when (val admission = serving.admit(call)) {
             is Admission.Refused -> refuse(admission.code, admission.retryAfterMs)
             is Admission.Admitted -> {
-                demand = admission.demand.copy(origin = serving.origins.find(call, admission.demand, serving.nowMs()))
+                demand = admission.demand
                 record.demand = demand
                 deadline = serving.schedule(demand.deadlineAtMs) { onDeadline() }
-                if (demand.origin == StreamOrigin.Unknown) refuseUnknownOrigin() else place()
+                serving.origins.find(call, demand) { originFound(it) }
             }
         }
     }
 
-    /** Another process may know where the stream began. */
-    private fun refuseUnknownOrigin() = refuse(ResultCode.STREAM_ORIGIN_UNKNOWN, RETRY_ELSEWHERE_MS)
+    private fun originFound(origin: StreamOrigin) {
+        if (isDone) return
+        demand = demand.copy(origin = origin)
+        if (origin == StreamOrigin.Unknown) {
+            refuse(ResultCode.STREAM_ORIGIN_UNKNOWN, RETRY_ELSEWHERE_MS)
+        } else {
+            place()
+        }
+    }
 
     /** Ends the exchange after the caller has closed its connection. A non-idempotent call goes on at the upstream. */
     fun callerDisconnected() {
@@ -172,7 +179,7 @@
         if (demand.origin != StreamOrigin.NotBegun) return
         val softwareVersion = placed?.upstream?.softwareVersion
         demand = demand.copy(origin = StreamOrigin.of(softwareVersion))
-        serving.origins.began(call, demand, softwareVersion, serving.nowMs())
+        serving.origins.began(call, demand, softwareVersion)
     }
 
     private fun runStarted() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -44,7 +44,7 @@
     private val log: RequestLog,
 ) {
     val pool = UpstreamPool(loop, format, time)
-    val origins = StreamOrigins()
+    val origins = StreamOrigins(time)
     private val random = Random(System.nanoTime())
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
@@ -98,7 +98,7 @@
 
     fun updateRegistry(update: RegistryUpdate) {
         registry = registry.apply(update, nowMs())
-        origins.registryUpdated(update, registry, nowMs())
+        origins.registryUpdated(update, registry)
         dropUnregistered()
     }
 
@@ -128,7 +128,7 @@
     fun tick() {
         observeClocks()
         registry = registry.expire(nowMs())
-        origins.prune(nowMs())
+        origins.prune()
         dropUnregistered()
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -48,6 +48,7 @@
     private val reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
+    private val peer: ReportedPeer,
 ) {
     private val scope = LeaseScope("usage")
     private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time)
@@ -145,6 +146,7 @@
                     counts = usage.counts[window].orEmpty(),
                     isClosed = isClosing || window < current,
                     isLast = isClosing && window == current,
+                    peer = peer.address?.toString(),
                 )
                 if (published[window] == next) null else window to next
             }
@@ -170,6 +172,7 @@
         countsOf(current - 1).onRight { counts ->
             processes = counts.continuing
             if (processes.isNotEmpty()) onLoop { serving.setProcessCount(processes.size) }
+            onLoop { peer.onProcessesRead(counts.peers) }
         }
     }
 
--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -0,0 +1,158 @@
+package org.medlarhook.serving.peer
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.EventLoop
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import org.medlarhook.core.routing.RendezvousHash
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.fleet.Endpoint
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
+import java.net.InetSocketAddress
+import java.util.concurrent.Future
+import java.util.concurrent.TimeUnit
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Exchanges [PeerMessage]s with the other processes as datagrams. Used on [loop] only.
+ *
+ * A datagram may be lost: each stream is told to [HOLDERS] processes, and a question that stays unanswered ends after
+ * [ANSWER_TIMEOUT_MS].
+ */
+internal class DatagramPeers(
+    private val loop: EventLoop,
+    private val address: Endpoint,
+    private val listener: PeerListener,
+) : StreamPeers {
+    private var channel: Channel? = null
+    private var peers: List<InetSocketAddress> = emptyList()
+    private val untold = ArrayList<BegunStream>()
+    private val openQuestions = HashMap<Long, OpenQuestion>()
+    private var lastQuestion = 0L
+
+    private class OpenQuestion(
+        var awaited: Int,
+        val timeout: Future<*>,
+        val onAnswer: (String?) -> Unit,
+    )
+
+    /** Opens the socket; without it, streams of other processes are unknown and the process serves on. */
+    fun open() {
+        val bound =
+            Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel::class.java)
+                .handler(Receiver())
+                .bind(address.host, address.port)
+                .awaitUninterruptibly()
+        if (bound.isSuccess) {
+            channel = bound.channel()
+        } else {
+            logger.warnEvent(LogEvent.PEERS_UNREACHABLE, "address" to "$address", "cause" to "${bound.cause()}")
+        }
+    }
+
+    /** Sets the addresses of all serving processes; this one is left out. */
+    fun update(addresses: Collection<Endpoint>) {
+        peers = addresses.filter { it != address }.map { InetSocketAddress(it.host, it.port) }
+    }
+
+    override fun tell(stream: BegunStream) {
+        if (peers.isEmpty()) return
+        untold += stream
+        if (untold.size == 1) loop.schedule({ tellAll() }, TELL_DELAY_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun tellAll() {
+        val byHolder =
+            untold.flatMap { stream ->
+                holders(stream.attemptId).map { it to stream }
+            }.groupBy({ it.first }) { it.second }
+        untold.clear()
+        byHolder.forEach { (holder, streams) ->
+            streams.chunked(STREAMS_PER_MESSAGE).forEach { send(PeerMessage.StreamsBegan(it), holder) }
+        }
+    }
+
+    private fun holders(attemptId: String): List<InetSocketAddress> =
+        RendezvousHash.top(attemptId.hashCode().toLong(), peers, HOLDERS) { it.toString() }
+
+    override fun ask(
+        attemptId: String,
+        service: String,
+        streamMs: Long,
+        onAnswer: (String?) -> Unit,
+    ) {
+        if (peers.isEmpty()) return onAnswer(null)
+        val number = ++lastQuestion
+        val timeout = loop.schedule({ close(number, null) }, ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        openQuestions[number] = OpenQuestion(peers.size, timeout, onAnswer)
+        peers.forEach { send(PeerMessage.VersionQuestion(number, attemptId, service, streamMs), it) }
+    }
+
+    private fun close(question: Long, softwareVersion: String?) {
+        val open = openQuestions.remove(question) ?: return
+        open.timeout.cancel(false)
+        open.onAnswer(softwareVersion)
+    }
+
+    private fun send(message: PeerMessage, peer: InetSocketAddress) {
+        val bytes = Unpooled.copiedBuffer(RowJson.encode(message), Charsets.UTF_8)
+        val current = channel
+        if (current == null) bytes.release() else current.writeAndFlush(DatagramPacket(bytes, peer))
+    }
+
+    private fun received(message: PeerMessage, sender: InetSocketAddress) {
+        when (message) {
+            is PeerMessage.StreamsBegan -> message.streams.forEach { listener.began(it) }
+            is PeerMessage.VersionQuestion -> {
+                val version = listener.versionOf(message.attemptId, message.service, message.streamMs)
+                send(PeerMessage.VersionAnswer(message.question, version), sender)
+            }
+            is PeerMessage.VersionAnswer -> answered(message)
+        }
+    }
+
+    private fun answered(answer: PeerMessage.VersionAnswer) {
+        val open = openQuestions[answer.question] ?: return
+        open.awaited--
+        if (answer.softwareVersion != null || open.awaited == 0) close(answer.question, answer.softwareVersion)
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
+            val text = packet.content().toString(Charsets.UTF_8)
+            runCatching { RowJson.decode<PeerMessage>(text) }.fold(
+                { received(it, packet.sender()) },
+                {
+                    logger.warnEvent(LogEvent.PEER_MESSAGE_UNREADABLE, "from" to "${packet.sender()}", "cause" to "$it")
+                },
+            )
+        }
+
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            logger.warnEvent(LogEvent.PEERS_UNREACHABLE, "address" to "$address", "cause" to "$cause")
+        }
+    }
+
+    private companion object {
+        /** Processes that keep each stream: more than one, so that it survives a lost datagram or process. */
+        const val HOLDERS = 2
+
+        /** Collects the streams of a busy process into few datagrams. */
+        const val TELL_DELAY_MS = 20L
+
+        /** Keeps a datagram below the usual packet size of 1,500 bytes. */
+        const val STREAMS_PER_MESSAGE = 12
+
+        /** A round trip between regions and a pause of a busy process; the caller waits meanwhile. */
+        const val ANSWER_TIMEOUT_MS = 150L
+    }
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -16,11 +16,13 @@
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.ServingLoop
+import org.medlarhook.serving.duty.ReportedPeer
 import org.medlarhook.serving.duty.StoreClock
 import org.medlarhook.serving.duty.UsageReporter
 import org.medlarhook.serving.duty.WindowReporting
 import org.medlarhook.serving.http.CallerConnections
 import org.medlarhook.serving.http.CallerListener
+import org.medlarhook.serving.peer.DatagramPeers
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
@@ -50,6 +52,7 @@
         ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
+    private val peers = settings.peer?.let { DatagramPeers(serving.loop, it, serving.origins) }
     private val feeds = Feeds(ports.store, serving, time)
     private val usageReporter =
         UsageReporter(
@@ -60,6 +63,7 @@
             ports.reporting,
             settings.bounds,
             time,
+            ReportedPeer(settings.peer) { addresses -> peers?.update(addresses) },
         )
     private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
     private val stopped = CountDownLatch(1)
@@ -80,6 +84,10 @@
      */
     public fun start() {
         feeds.start()
+        peers?.let {
+            it.open()
+            serving.loop.execute { serving.origins.peers = it }
+        }
         status.start()
         awaitInitialState()
         warmUp()
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
@@ -13,6 +13,7 @@
  * @property process identifies one start of this process.
  * @property callers the address on which callers connect.
  * @property status the address on which readiness, metrics and the state dump are served.
+ * @property peer the address on which other serving processes reach this one, or null if they don't.
  * @property metricsPort a second port for [status], which stays the same when the platform changes the first, or null.
  * @property readinessPath the path of the readiness check.
  */
@@ -24,6 +25,7 @@
     val status: Endpoint,
     val readinessPath: String,
     val bounds: ServingBounds,
+    val peer: Endpoint? = null,
     val metricsPort: Int? = null,
 ) {
     /** Creates the placer for the data centre of this process. */
