Admit while an entry drains only requests whose deadlines lie within the drain

Cause: for shutdown.balancerWaitMs after the drain began, every new request was admitted without comparing its deadline with the end of the drain, balancerWaitMs plus finishLimitMs after its start. Deadlines may be ten times as long as the drain. Ruled out: an estimate of the duration, as in ShutdownAdmission. The defaults (deadline 60 s, drain 62 s) leave a request without a header room to be admitted for 2 s, which is all of balancerWaitMs. Change: DrainState holds the drain's ShutdownWindow and refuses a request received since its start if its deadline lies after its end: DRAINING, not run, Retry-After 1 s as before. Asked where the deadline is known, in ChatHandler and ServiceHandler. Shutdown waits for open requests until the end of the same window. The two tests of DrainTest failed before (200 for a generation and 201 for a service call instead of 503) and pass. DrainStateTest, for the limits of the window, was written with the change and was not run on the old logic.

--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPipeline.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPipeline.kt
@@ -100,7 +100,7 @@
 
     /** Waits for open requests, then closes everything. Returns true if all requests finished in time. */
     fun stop(): Boolean {
-        val isFinished = Shutdown(settings.shutdown, drainState, openRequests).drain()
+        val isFinished = Shutdown(settings.shutdown, drainState, openRequests, time).drain()
         listener.stop()
         claims.close()
         pool.close()
@@ -133,11 +133,12 @@
             )
         val authorizer = CallerAuthorizer(directory)
         val outcomeRecorder = RequestOutcomeRecorder(metrics, time)
+        val maxDeadlineMs = settings.limits.maxDeadlineMs
         val handlers =
             CallersListener.Handlers(
                 authorizer = authorizer,
-                chat = ChatHandler(services, authorizer, outcomeRecorder, settings.limits.maxDeadlineMs),
-                services = ServiceHandler(services, authorizer, outcomeRecorder, settings.limits.maxDeadlineMs),
+                chat = ChatHandler(services, authorizer, outcomeRecorder, drainState, maxDeadlineMs),
+                services = ServiceHandler(services, authorizer, outcomeRecorder, drainState, maxDeadlineMs),
                 models = ModelsHandler(directory, authorizer),
             )
         return CallersListener(settings, time, scheduler, drainState, handlers)
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/ChatHandler.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/ChatHandler.kt
@@ -19,6 +19,7 @@
     private val services: CallServices,
     private val authorizer: CallerAuthorizer,
     private val outcomeRecorder: RequestOutcomeRecorder,
+    private val drainState: DrainState,
     private val maxDeadlineMs: Long,
 ) {
     /** Refuses a request, and counts and logs the refusal. */
@@ -51,6 +52,8 @@
             val model = model(workspace, request.model).bind()
             val maxOutputTokens = maxOutputTokens(request, model).bind()
             val remainingMs = DeadlineHeader.parse(caller.deadlineHeader, model.defaultDeadlineMs, maxDeadlineMs).bind()
+            val deadlineAtMs = caller.receivedAtMs + remainingMs
+            drainState.refusal(caller.receivedAtMs, deadlineAtMs)?.let { raise(it) }
             val prompt = ChatRequestParser.prompt(request)
             val promptTokens = prompt.length / CHARS_PER_TOKEN + 1
             Prepared(
@@ -61,7 +64,7 @@
                     workspace = workspace,
                     presentedKey = caller.presentedKey,
                     startedAtMs = caller.receivedAtMs,
-                    deadlineAtMs = caller.receivedAtMs + remainingMs,
+                    deadlineAtMs = deadlineAtMs,
                 ),
             )
         }
--- a/entry/src/main/kotlin/org/medlarhook/entry/http/ServiceHandler.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/http/ServiceHandler.kt
@@ -25,6 +25,7 @@
     private val services: CallServices,
     private val authorizer: CallerAuthorizer,
     private val outcomeRecorder: RequestOutcomeRecorder,
+    private val drainState: DrainState,
     private val maxDeadlineMs: Long,
 ) {
     /** Refuses a call, and counts and logs the refusal. */
@@ -52,23 +53,32 @@
         admitted: AdmittedCall,
         body: ByteArray,
     ) {
-        val defaultMs = admitted.matched.service.defaultDeadlineMs
-        DeadlineHeader.parse(caller.deadlineHeader, defaultMs, maxDeadlineMs).fold(
+        deadlineAtMs(caller, admitted).fold(
             ifLeft = { refuse(caller, it) },
-            ifRight = { remainingMs ->
-                val info = info(caller, admitted.workspace, remainingMs)
+            ifRight = { deadlineAtMs ->
+                val info = info(caller, admitted.workspace, deadlineAtMs)
                 PlainServiceCall(services, info, job(caller, head, admitted, info, body), Responder(caller)).start()
             },
         )
     }
 
-    private fun info(caller: CallerRequest, workspace: Workspace?, remainingMs: Long) =
+    /** Returns the deadline of a call on the monotonic clock, or why the call is refused for it. */
+    private fun deadlineAtMs(caller: CallerRequest, admitted: AdmittedCall): Either<Failure, Long> =
+        either {
+            val defaultMs = admitted.matched.service.defaultDeadlineMs
+            val remainingMs = DeadlineHeader.parse(caller.deadlineHeader, defaultMs, maxDeadlineMs).bind()
+            val deadlineAtMs = caller.receivedAtMs + remainingMs
+            drainState.refusal(caller.receivedAtMs, deadlineAtMs)?.let { raise(it) }
+            deadlineAtMs
+        }
+
+    private fun info(caller: CallerRequest, workspace: Workspace?, deadlineAtMs: Long) =
         RequestInfo(
             requestId = caller.exchange.requestId,
             workspace = workspace,
             presentedKey = caller.presentedKey,
             startedAtMs = caller.receivedAtMs,
-            deadlineAtMs = caller.receivedAtMs + remainingMs,
+            deadlineAtMs = deadlineAtMs,
         )
 
     private fun job(
--- a/entry/src/test/kotlin/org/medlarhook/entry/TestEntry.kt
+++ b/entry/src/test/kotlin/org/medlarhook/entry/TestEntry.kt
@@ -65,6 +65,7 @@
 internal class TestEntry(
     memory: InMemoryTableService = InMemoryTableService(),
     calls: CallSettings = CallSettings(tickMs = 20, keyCheckMs = 50),
+    shutdown: ShutdownSettings = ShutdownSettings(balancerWaitMs = 200, finishLimitMs = 5_000),
 ) : AutoCloseable {
     val directory = FixedDirectory()
     val tables = FaultyTableService(memory)
@@ -82,7 +83,7 @@
             platform = PlatformSettings("http://127.0.0.1:1"),
             limits = CallerLimits(maxBodyBytes = 10_000),
             calls = calls,
-            shutdown = ShutdownSettings(balancerWaitMs = 200, finishLimitMs = 5_000),
+            shutdown = shutdown,
         )
     val pipeline =
         RequestPipeline(settings, tables, NoObjects, directory, SystemTimeSource, scheduler, ::SimpleMeterRegistry)
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/settings/ShutdownSettings.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/settings/ShutdownSettings.kt
@@ -5,7 +5,8 @@
 /**
  * Time limits of a graceful shutdown.
  *
- * @property balancerWaitMs time during which new requests are still accepted after `/readyz` has begun to fail.
+ * @property balancerWaitMs time after `/readyz` has begun to fail during which new requests are still accepted if their
+ * deadlines lie before the end of both times.
  * @property finishLimitMs longest wait for open requests to finish after that.
  */
 @Serializable
