--- a/entry/src/main/kotlin/org/medlarhook/entry/RequestPipeline.kt
+++ b/entry/src/main/kotlin/org/medlarhook/entry/RequestPipeline.kt
@@ -98,9 +98,13 @@
         listener.start()
     }
 
-    /** Waits for open requests, then closes everything. Returns true if all requests finished in time. */
+    /**
+     * Waits for open requests, gives those that still run at the end of the drain their final answer, and closes
+     * everything. Returns true if all requests finished in time.
+     */
     fun stop(): Boolean {
-        val isFinished = Shutdown(settings.shutdown, drainState, openRequests).drain()
+        val isFinished = Shutdown(settings.shutdown, drainState, openRequests, time).drain()
+        openRequests.cutOff()
         listener.stop()
         claims.close()
         pool.close()
@@ -133,11 +137,12 @@
             )
         val authorizer = CallerAuthorizer(directory)
         val outcomeRecorder = RequestOutcomeRecorder(metrics, time)
+        val maxDeadlineMs = settings.limits.maxDeadlineMs
         val handlers =
             CallersListener.Handlers(
                 authorizer = authorizer,
-                chat = ChatHandler(services, authorizer, outcomeRecorder, settings.limits.maxDeadlineMs),
-                services = ServiceHandler(services, authorizer, outcomeRecorder, settings.limits.maxDeadlineMs),
+                chat = ChatHandler(services, authorizer, outcomeRecorder, drainState, maxDeadlineMs),
+                services = ServiceHandler(services, authorizer, outcomeRecorder, drainState, maxDeadlineMs),
                 models = ModelsHandler(directory, authorizer),
             )
         return CallersListener(settings, time, scheduler, drainState, handlers)
