--- a/core/src/test/kotlin/org/medlarhook/core/serving/shutdown/ShutdownAdmissionTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/shutdown/ShutdownAdmissionTest.kt
@@ -60,7 +60,10 @@
         val durationMs: Double,
     )
 
-    /** Streams of 300 to 7,000 ms and calls of 20 ms, all with long deadlines, that still arrive at a stopping process. */
+    /**
+     * Streams of 17 to 12,000 ms and calls of 10 to 40 ms, all with long deadlines, that still arrive at a stopping
+     * process.
+     */
     private fun arrivals(random: Random): List<Arrival> =
         (0L until 3_500L step 20).map { atMs ->
             val stream = longStream(atMs)
@@ -81,7 +84,7 @@
         }
 
     @Test
-    fun `Given a rolling restart in which callers still arrive, then none is cut off and most short answers are served`() {
+    fun `Given a rolling restart in which callers still arrive, then none is cut off, most short answers are served`() {
         val random = Random(27)
         val estimates = learned(random)
         val arrivals = arrivals(random)
