Deliver answers in full that are still being written when a shutdown closes idle connections

Callers saw: a large answer that ended early with a clean end of its connection, when they read it slowly during a graceful shutdown. Cause: after the last write of an answer no exchange is on the connection, although bytes wait in its outbound buffer. The check for idle connections, each 100 ms during a shutdown, took it for idle and closed it, which drops these bytes. Change: a connection that closes after its last write is left alone, and an idle one is closed after its pending output. A connection that has pending output when the shutdown ends is reset, so that a truncated answer never looks complete. Not changed: the idle timeout outside a shutdown still closes a connection whose output is pending.

--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -197,17 +197,26 @@
         return ChannelFutureListener.CLOSE
     }
 
-    /** Closes the connection if no request is on it. */
+    /** Closes the connection after its pending output, if no request is on it and it is not closing yet. */
     fun closeIfIdle() {
-        if (exchange == null && request == null && pipelined.isEmpty()) close()
+        if (isClosing || exchange != null || request != null || pipelined.isNotEmpty()) return
+        context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(closeWhenWritten())
     }
 
-    /** Ends the request on the connection, if there is one, and closes the connection. */
+    /**
+     * Ends the request on the connection, if there is one, and closes the connection. Resets it if output is pending,
+     * so that the caller can't mistake a truncated answer for a complete one.
+     */
     fun cutOff() {
         exchange?.cutOffAtShutdown()
-        if (!isClosing) close()
+        when {
+            hasPendingOutput() -> abort()
+            !isClosing -> close()
+        }
     }
 
+    private fun hasPendingOutput(): Boolean = context.channel().unsafe().outboundBuffer()?.isEmpty == false
+
     private fun close() {
         isClosing = true
         context.close()
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
@@ -28,7 +28,7 @@
         connections -= connection
     }
 
-    /** Closes the connections without a request. */
+    /** Closes the connections without a request, each after its pending output. */
     fun closeIdle() {
         connections.toList().forEach { it.closeIfIdle() }
     }
