Give requests that a shutdown cuts off their answer before the last calls to the store

Callers saw: no answer to a call that still ran at the end of a graceful shutdown, when the store was slow at that time. Cause: the last usage counts were published first. A call to the store may take 800 ms, and 700 ms are left until SIGKILL.

--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -132,7 +132,8 @@
     /**
      * Stops gracefully: reports that it is not ready, serves new requests until the balancer has noticed, then closes
      * the listener and ends when no request runs. If too few processes are left, the balancer sends callers here until
-     * the listener is closed.
+     * the listener is closed. Requests that still run at the end are cut off before the last calls to the store, which
+     * may take longer than the time that is left until the process is killed.
      */
     public fun stop() {
         val startedAtMs = time.monotonicMs()
@@ -150,10 +151,11 @@
         Thread.sleep((listenerCloseAtMs - time.monotonicMs()).coerceAtLeast(0))
         callers.close()
         while (time.monotonicMs() < endAtMs && hasOpenWork()) Thread.sleep(POLL_MS)
+        val inFlightAtEnd = serving.requestsInFlight
+        serving.loop.submit { callerConnections.cutOff() }.await()
         feeds.stop()
         usageReporter.finish(endAtMs)
-        logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to serving.requestsInFlight)
-        serving.loop.submit { callerConnections.cutOff() }.await()
+        logger.event(LogEvent.PROCESS_STOPPED, "inFlight" to inFlightAtEnd)
         group.shutdownGracefully(0, EVENT_LOOP_SHUTDOWN_MS, TimeUnit.MILLISECONDS)
         status.stop()
         stopped.countDown()
