--- a/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamVersions.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamVersions.kt
@@ -8,7 +8,8 @@
  * At which software version recent streams began, for callers that take up a broken stream with a new request.
  *
  * A stream that this process or another one has recorded is known. Of any other stream the version is known only if its
- * service had a single one for as long as the stream can have run, and this process has watched the registry all the time.
+ * service had a single one for as long as the stream can have run, and if this process has watched the registry all the
+ * time.
  *
  * @property streams recorded streams by the attempt of the caller that brought their first event.
  * @property watchedSinceMs since when this process knows all registrations, or null while it does not.
@@ -54,8 +55,8 @@
         streams[attemptId]?.takeIf { it.untilMs > nowMs }?.softwareVersion
 
     /**
-     * The version that all upstreams of [service], of which [registered] are left, had for the last [durationMs], or null
-     * if there were several, or if that is not known.
+     * The version that all upstreams of [service], of which [registered] are left, had for the last [durationMs], or
+     * null if there were several, or if that is not known.
      */
     public fun singleVersion(
         service: String,
