Estimate answers of plain calls by route, so that short calls don't vouch for a long stream

Callers saw: during a graceful shutdown a long stream without token counts was admitted after a few short calls of the same service, and could be cut off at the end. Cause: the longest recent answer was kept for a whole service; its routes may differ by orders of magnitude. Change: ServiceEstimates keeps the recent answers by route name. A route without a sample is admitted by its deadline only, and so is a request of a stream route without token counts, which may be of any length. The core test of plain calls used a stream route; it now uses a route of plain calls, as its name says, with the same bounds.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/ServiceEstimates.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/ServiceEstimates.kt
@@ -1,5 +1,7 @@
 package org.medlarhook.core.serving.load
 
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
 import org.medlarhook.core.serving.fleet.EngineStage
 import org.medlarhook.core.serving.place.Placement
 
@@ -8,20 +10,22 @@
  *
  * @property error observed time to the first event divided by the predicted time.
  * @property rates the speed of its engines.
- * @property answers the times of recent complete answers of a plain service, in milliseconds.
+ * @property answers by route, the times of recent complete answers of a plain service, in milliseconds. The routes of a
+ * service may differ greatly, so that an answer tells nothing of those of another route.
  * @property prefixHits how often an unverified shared prefix is found in a cache.
  */
 public data class ServiceEstimates(
     val error: PredictionError = PredictionError(),
     val rates: EngineRates = EngineRates(),
     val prefixHits: PrefixHitShare = PrefixHitShare(),
-    private val answers: RecentQuantile = RecentQuantile(1.0),
+    private val answers: PersistentMap<String, RecentQuantile> = persistentMapOf(),
 ) {
-    /** The longest recent answer of a plain service in milliseconds, or null before the first one. */
-    public val longestAnswerMs: Double? get() = answers.value
+    /** The longest recent answer of a plain service on [route] in milliseconds, or null before the first one. */
+    public fun longestAnswerMs(route: String): Double? = answers[route]?.value
 
-    /** Records a complete answer of a plain service that took [observedMs]. */
-    public fun answered(observedMs: Double): ServiceEstimates = copy(answers = answers.with(observedMs))
+    /** Records a complete answer of a plain service on [route] that took [observedMs]. */
+    public fun answered(route: String, observedMs: Double): ServiceEstimates =
+        copy(answers = answers.put(route, (answers[route] ?: RecentQuantile(GREATEST_QUANTILE)).with(observedMs)))
 
     /**
      * Records the first event of an attempt that was placed as [chosen] and that prefilled its prompt at an engine of
@@ -36,4 +40,8 @@
             prefixHits = prefixHits.observed(ifCachedMs, ifCachedMs + prefix.savedMs, observedMs),
         )
     }
+
+    private companion object {
+        const val GREATEST_QUANTILE = 1.0
+    }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/shutdown/ShutdownAdmission.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/shutdown/ShutdownAdmission.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.core.serving.shutdown
 
+import org.medlarhook.core.serving.config.CallKind
 import org.medlarhook.core.serving.load.ServiceEstimates
 import org.medlarhook.core.serving.place.Demand
 
@@ -22,11 +23,17 @@
     public fun isBalancerInformed(window: ShutdownWindow, nowMs: Long): Boolean =
         nowMs - window.startedAtMs >= BALANCER_NOTICE_MS
 
-    /** The time of an answer with all the output that the caller allows, or null if nothing is known of it yet. */
+    /**
+     * The time of an answer with all the output that the caller allows, or null if nothing is known of it yet. A stream
+     * without token counts may be of any length, so that earlier ones tell nothing of it.
+     */
     private fun longestAnswerMs(demand: Demand, estimates: ServiceEstimates): Double? {
-        val generation = demand.generation ?: return estimates.longestAnswerMs
+        val route = demand.route
+        val generation =
+            demand.generation
+                ?: return if (route.kind == CallKind.STREAM) null else estimates.longestAnswerMs(route.name)
         val stepMs = estimates.rates.slowestDecodeStepMs ?: return null
-        return demand.route.objectiveMs + generation.maxOutputTokens * stepMs
+        return route.objectiveMs + generation.maxOutputTokens * stepMs
     }
 
     /** An answer may take this many times as long as the slowest recent one. */
--- a/core/src/test/kotlin/org/medlarhook/core/serving/shutdown/ShutdownAdmissionTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/shutdown/ShutdownAdmissionTest.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.core.serving.shutdown
 
+import org.medlarhook.core.serving.config.CallKind
 import org.medlarhook.core.serving.demand
 import org.medlarhook.core.serving.load.ServiceEstimates
 import org.medlarhook.core.serving.place.Demand
@@ -21,6 +22,16 @@
             outputTokens = 200
         }
 
+    private fun plainCall(atMs: Long, routeName: String = "calls") =
+        longStream(atMs).copy(
+            generation = null,
+            route = route {
+                name = routeName
+                kind = CallKind.NON_IDEMPOTENT
+                timeoutMs = 15_000
+            },
+        )
+
     private fun decodedIn(msPerToken: Double) =
         ServiceEstimates().let { it.copy(rates = it.rates.decoded(1_000, msPerToken * 1_000)) }
 
@@ -47,13 +58,33 @@
 
     @Test
     fun `Given a plain call with a long deadline, then the longest recent answer decides`() {
-        val call = longStream(3_000).copy(generation = null)
-        val estimates = ServiceEstimates().answered(20.0).answered(2_000.0).answered(30.0)
+        val call = plainCall(3_000)
+        val estimates =
+            listOf(20.0, 2_000.0, 30.0).fold(ServiceEstimates()) { all, ms -> all.answered("calls", ms) }
 
         assertTrue(ShutdownAdmission.admits(call, estimates, window, 3_000))
         assertFalse(ShutdownAdmission.admits(call.copy(arrivedAtMs = 3_400), estimates, window, 3_400))
     }
 
+    @Test
+    fun `Given short answers of one route, then a call of another route of the service is admitted by its deadline`() {
+        val estimates = ServiceEstimates().answered("calls", 20.0)
+        val other = plainCall(3_000, routeName = "other")
+
+        assertTrue(ShutdownAdmission.admits(plainCall(3_000), estimates, window, 3_000))
+        assertFalse(ShutdownAdmission.admits(other, estimates, window, 3_000))
+        assertTrue(ShutdownAdmission.admits(other.copy(deadlineAtMs = 7_300), estimates, window, 3_000))
+    }
+
+    @Test
+    fun `Given short streams of a route, then a stream without token counts is admitted by its deadline only`() {
+        val stream = longStream(3_000).copy(generation = null)
+        val estimates = ServiceEstimates().answered(stream.route.name, 20.0)
+
+        assertFalse(ShutdownAdmission.admits(stream, estimates, window, 3_000))
+        assertTrue(ShutdownAdmission.admits(stream.copy(deadlineAtMs = 7_300), estimates, window, 3_000))
+    }
+
     /** A request of the replay with the time that its answer takes. */
     private class Arrival(
         val demand: Demand,
@@ -73,13 +104,13 @@
                 val tokens = maxTokens * (0.1 + 0.9 * random.nextDouble())
                 Arrival(stream.copy(generation = generation), tokens * random.nextDouble(0.4, 0.8))
             } else {
-                Arrival(stream.copy(generation = null), random.nextDouble(10.0, 40.0))
+                Arrival(plainCall(atMs), random.nextDouble(10.0, 40.0))
             }
         }
 
     private fun learned(random: Random): ServiceEstimates =
         (0 until 48).fold(ServiceEstimates()) { estimates, _ ->
-            val slowed = estimates.answered(random.nextDouble(10.0, 40.0))
+            val slowed = estimates.answered("calls", random.nextDouble(10.0, 40.0))
             slowed.copy(rates = slowed.rates.decoded(1_000, random.nextDouble(0.4, 0.8) * 1_000))
         }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -91,7 +91,7 @@
         if (isSuccess && !isPrefill && hasFirstToken) decodeObserved(nowMs)
         val observedMs = (nowMs - sentAtMs).toDouble()
         if (isSuccess && demand.generation == null) {
-            serving.updateEstimates(demand.service) { it.answered(observedMs) }
+            serving.updateEstimates(demand.service) { it.answered(demand.route.name, observedMs) }
         }
         update { load ->
             load.copy(
