Retry during a graceful shutdown only what will be complete when it ends

Callers saw: a request whose attempt failed during a graceful shutdown was sent to another upstream, ran there, and was cut off at the end, instead of an error at once that leaves the caller time to go elsewhere. Cause: only the admission of a request compared its duration with the time that is left; retries inside an exchange did not. Change: a retry, a new placement after a failed prefill, and one after an attempt that was not sent are made only if ShutdownAdmission admits the request at that time. Otherwise the existing paths end it: refused if it can't have run, else 502 or a reset. The decode after a completed prefill is still sent, because it is the request's first run. The case of a failed prefill and that of an attempt that was not sent have no test of their own: the stand-ins of these tests have no prefill stage.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -126,7 +126,7 @@
         record.failed(reason)
         if (isDone) return
         tried += serving.prefillUpstreamIds(demand)
-        place()
+        placeAgain()
     }
 
     private fun options(chosen: Placement.Chosen, step: AttemptStep, nowMs: Long): AttemptOptions =
@@ -196,7 +196,7 @@
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
         when {
-            !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> place()
+            !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
             demand.route.mayRunAgain && relay?.canResume != false -> retryOr { failIncomplete() }
             else -> failIncomplete()
@@ -218,11 +218,21 @@
         if (mayRetry()) place() else onNoRetry()
     }
 
+    /** Places the request again, or refuses it if a graceful shutdown may end before its answer. */
+    private fun placeAgain() {
+        if (serving.endsBeforeShutdown(demand, serving.nowMs())) {
+            place()
+        } else {
+            refuseIfNotRun(ResultCode.DRAINING, serving.busyRetryAfterMs(demand))
+        }
+    }
+
     private fun mayRetry(): Boolean {
         val nowMs = serving.nowMs()
         return possibleRuns < demand.route.maxAttempts &&
             attemptsSent < MAX_ATTEMPTS_SENT &&
             demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
+            serving.endsBeforeShutdown(demand, nowMs) &&
             serving.hasUntriedUpstream(demand, tried) &&
             serving.withdrawRetry(demand.service, nowMs)
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -161,9 +161,13 @@
         return refusalAtShutdown(demand, atMs) ?: Admission.Admitted(demand)
     }
 
+    /** True if an attempt of [demand] that begins at [nowMs] ends before the process does, as far as can be told. */
+    fun endsBeforeShutdown(demand: Demand, nowMs: Long): Boolean =
+        shutdown?.let { ShutdownAdmission.admits(demand, estimatesOf(demand.service), it, nowMs) } ?: true
+
     private fun refusalAtShutdown(demand: Demand, nowMs: Long): Admission.Refused? {
         val window = shutdown ?: return null
-        if (ShutdownAdmission.admits(demand, estimatesOf(demand.service), window, nowMs)) return null
+        if (endsBeforeShutdown(demand, nowMs)) return null
         val retryAfterMs =
             if (ShutdownAdmission.isBalancerInformed(window, nowMs)) {
                 retryAfterPolicy.retryAfterMs(
