Cut off the other requests when one connection fails at the end of a shutdown

Callers saw: calls that still ran at the end of a graceful shutdown got no answer when ending another one threw an exception. Cause: the exception ended the loop over the connections, and nothing read the failed future, so that no log line told. Change: each connection is guarded; a failure is logged as event 205, its connection is reset, and the others still end.

--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnections.kt
@@ -33,9 +33,17 @@
         connections.toList().forEach { it.closeIfIdle() }
     }
 
-    /** Ends the requests that still run when a graceful shutdown is over, each with its final answer. */
+    /**
+     * Ends the requests that still run when a graceful shutdown is over, each with its final answer. An error on one
+     * connection resets it, and the others still end.
+     */
     fun cutOff() {
-        connections.toList().forEach { it.cutOff() }
+        connections.toList().forEach { connection ->
+            runCatching { connection.cutOff() }.onFailure { cause ->
+                logFailure(cause)
+                runCatching { connection.abort() }.onFailure { logFailure(it) }
+            }
+        }
     }
 
     /** The limits of the current configuration. */
@@ -43,10 +51,12 @@
 
     /** Logs an error on a connection; I/O errors are not logged. */
     fun failed(cause: Throwable) {
-        if (cause is IOException) return
-        logger.warnEvent(LogEvent.CONNECTION_FAILED, "cause" to cause.toString())
+        if (cause !is IOException) logFailure(cause)
     }
 
+    private fun logFailure(cause: Throwable) =
+        logger.warnEvent(LogEvent.CONNECTION_FAILED, "cause" to cause.toString())
+
     companion object {
         /** The platform's usual limits, used until a configuration has been read. */
         val DEFAULT_LIMITS = CallerLimits(16_384, 4_194_304, 3_000, 15_000)
