Log the status of requests that a shutdown cuts off

Cause: the outcome did not carry the result code. Change: Outcome.CutOffAtShutdown carries the code, or null for a stream that had begun and was reset. Before: status null for a call that got 502; after: 502.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -72,12 +72,13 @@
         handle?.abandon()
         val code =
             when {
+                relay?.hasBegun == true -> null
                 !mayHaveRun -> ResultCode.DRAINING
                 demand.route.mayRunAgain -> ResultCode.UPSTREAM_FAILED
                 else -> ResultCode.OUTCOME_UNKNOWN
             }
-        if (relay?.hasBegun == true) caller.abort() else answer(code, null)
-        finish(Outcome.CutOffAtShutdown)
+        if (code == null) caller.abort() else answer(code, null)
+        finish(Outcome.CutOffAtShutdown(code))
     }
 
     /** Pauses reading from the upstream while the connection to the caller is not writable. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Outcome.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Outcome.kt
@@ -17,8 +17,14 @@
     /** The connection was reset after a part of the stream had been delivered. */
     data object Broken : Outcome
 
-    /** The process ended its graceful shutdown before the answer was complete. */
-    data object CutOffAtShutdown : Outcome
+    /**
+     * The process ended its graceful shutdown before the answer was complete.
+     *
+     * @property code the result that the caller got, or null if its stream had begun and was reset.
+     */
+    data class CutOffAtShutdown(
+        val code: ResultCode?,
+    ) : Outcome
 
     /** The caller closed its connection before the answer was complete. */
     data object CallerDisconnected : Outcome
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -68,7 +68,8 @@
         when (outcome) {
             is Outcome.Answered -> outcome.status
             is Outcome.Refused -> outcome.code.httpStatus
-            is Outcome.Broken, is Outcome.CutOffAtShutdown, is Outcome.CallerDisconnected -> null
+            is Outcome.CutOffAtShutdown -> outcome.code?.httpStatus
+            is Outcome.Broken, is Outcome.CallerDisconnected -> null
         }
 
     private fun timer(kind: String, outcome: String): Timer =
