Tell other processes of begun streams before their knowledge is needed, and trust a registry only while it is read

Change: streams are told from the moment at which a service may have several versions, and all known ones at the beginning of a stop; the only version of a service counts only within 5 s of a read of the registry and not over a suspension; records belong to a workspace, carry the service, become unknown when they conflict, and are bounded in size and time; a recorded origin goes before an inferred one, and inferred ones must agree; questions begin at a random number.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamOrigin.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamOrigin.kt
@@ -12,11 +12,13 @@
         override fun permits(upstream: Upstream): Boolean = true
     }
 
-    /** The stream has begun at an upstream with [softwareVersion]. */
+    /** The stream has begun at an upstream of [service] with [softwareVersion]. */
     public data class BegunAt(
+        val service: String,
         val softwareVersion: String,
     ) : StreamOrigin {
-        override fun permits(upstream: Upstream): Boolean = upstream.softwareVersion == softwareVersion
+        override fun permits(upstream: Upstream): Boolean =
+            upstream.service == service && upstream.softwareVersion == softwareVersion
     }
 
     /** The stream has begun at a version that is not known, so that no upstream may go on with it. */
@@ -25,7 +27,8 @@
     }
 
     public companion object {
-        /** The origin of a stream that began at an upstream with [softwareVersion], or null if that is not known. */
-        public fun of(softwareVersion: String?): StreamOrigin = softwareVersion?.let { BegunAt(it) } ?: Unknown
+        /** The origin of a stream that began at [upstream]. */
+        public fun of(upstream: Upstream?): StreamOrigin =
+            upstream?.softwareVersion?.let { BegunAt(upstream.service, it) } ?: Unknown
     }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamVersions.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamVersions.kt
@@ -11,30 +11,40 @@
  * service had a single one for as long as the stream can have run, and if this process has watched the registry all the
  * time.
  *
- * @property streams recorded streams by the attempt of the caller that brought their first event.
+ * @property streams recorded streams; two of one identifier with different origins are kept as unknown.
  * @property watchedSinceMs since when this process knows all registrations, or null while it does not.
+ * @property confirmedAtMs when the last successful read of the registry began.
  * @property left when the last upstream of a service with a version left the registry.
  */
 public data class StreamVersions(
-    private val streams: PersistentMap<String, RecordedStream> = persistentMapOf(),
+    private val streams: PersistentMap<StreamId, RecordedStream> = persistentMapOf(),
     private val watchedSinceMs: Long? = null,
+    private val confirmedAtMs: Long = Long.MIN_VALUE,
     private val left: PersistentMap<ServiceVersion, Long> = persistentMapOf(),
 ) {
-    /** Records that the stream of [attemptId] began at [softwareVersion] and may be taken up until [untilMs]. */
-    public fun began(attemptId: String, softwareVersion: String, untilMs: Long): StreamVersions =
-        copy(streams = streams.put(attemptId, RecordedStream(softwareVersion, untilMs)))
+    /** Records [stream], which is known at [nowMs]. */
+    public fun began(stream: BegunStream, nowMs: Long): StreamVersions {
+        if (!stream.isRecordable) return this
+        val id = StreamId(stream.workspace, stream.attemptId)
+        val untilMs = nowMs + stream.remainingMs.coerceIn(0, BegunStream.MAX_STREAM_MS)
+        val origin = StreamOrigin.BegunAt(stream.service, stream.softwareVersion)
+        val earlier = streams[id]?.takeIf { it.untilMs > nowMs }
+        val agreed = if (earlier == null || earlier.origin == origin) origin else StreamOrigin.Unknown
+        return copy(streams = streams.put(id, RecordedStream(agreed, maxOf(untilMs, earlier?.untilMs ?: 0))))
+    }
 
-    /** Records that the registered upstreams changed from [before] to [after] at [nowMs]. */
-    public fun registryChanged(before: List<Upstream>, after: List<Upstream>, nowMs: Long): StreamVersions {
+    /** Records that a read of the registry, begun at [readAtMs], changed the upstreams from [before] to [after]. */
+    public fun registryChanged(before: List<Upstream>, after: List<Upstream>, readAtMs: Long): StreamVersions {
         val gone = before.map { it.serviceVersion }.toSet() - after.map { it.serviceVersion }.toSet()
         return copy(
-            watchedSinceMs = watchedSinceMs ?: nowMs,
-            left = gone.fold(left) { all, version -> all.put(version, nowMs) },
+            watchedSinceMs = watchedSinceMs ?: readAtMs,
+            confirmedAtMs = maxOf(confirmedAtMs, readAtMs),
+            left = gone.fold(left) { all, version -> all.put(version, readAtMs) },
         )
     }
 
-    /** Records that all registrations were read at [nowMs]: what changed since an earlier read may be missing. */
-    public fun registryRead(nowMs: Long): StreamVersions = copy(watchedSinceMs = nowMs)
+    /** Records that all registrations were read at [readAtMs]: what changed since an earlier read may be missing. */
+    public fun registryRead(readAtMs: Long): StreamVersions = copy(watchedSinceMs = readAtMs)
 
     /** Records that registrations may change unseen from now on. */
     public fun registryLost(): StreamVersions = copy(watchedSinceMs = null)
@@ -42,7 +52,7 @@
     /** Removes what is no longer needed at [nowMs]. */
     public fun prune(nowMs: Long): StreamVersions {
         val expired = streams.filterValues { it.untilMs <= nowMs }.keys
-        val forgotten = left.filterValues { nowMs - it > MAX_STREAM_MS }.keys
+        val forgotten = left.filterValues { nowMs - it > BegunStream.MAX_STREAM_MS + REGISTRATION_DELAY_MS }.keys
         if (expired.isEmpty() && forgotten.isEmpty()) return this
         return copy(
             streams = expired.fold(streams) { all, id -> all.remove(id) },
@@ -50,13 +60,21 @@
         )
     }
 
-    /** The recorded version of the stream that [attemptId] began, or null if it is not recorded. */
-    public fun recorded(attemptId: String, nowMs: Long): String? =
-        streams[attemptId]?.takeIf { it.untilMs > nowMs }?.softwareVersion
+    /** The recorded origin of the stream that [attemptId] of [workspace] began, or null if there is no record. */
+    public fun recorded(workspace: String?, attemptId: String, nowMs: Long): StreamOrigin? =
+        streams[StreamId(workspace, attemptId)]?.takeIf { it.untilMs > nowMs }?.origin
+
+    /** The recorded streams of [service] that can still be taken up at [nowMs]. */
+    public fun recordedOf(service: String, nowMs: Long): List<BegunStream> =
+        streams.mapNotNull { (id, stream) ->
+            val origin = stream.origin as? StreamOrigin.BegunAt
+            if (origin?.service != service || stream.untilMs <= nowMs) return@mapNotNull null
+            BegunStream(id.workspace, id.attemptId, service, origin.softwareVersion, stream.untilMs - nowMs)
+        }
 
     /**
      * The version that all upstreams of [service], of which [registered] are left, had for the last [durationMs], or
-     * null if there were several, or if that is not known.
+     * null if there were several, or if that is not known at [nowMs].
      */
     public fun singleVersion(
         service: String,
@@ -64,16 +82,23 @@
         durationMs: Long,
         nowMs: Long,
     ): String? {
-        val fromMs = nowMs - durationMs - REGISTRATION_DELAY_MS
+        val fromMs = nowMs - durationMs.coerceIn(0, BegunStream.MAX_STREAM_MS) - REGISTRATION_DELAY_MS
         if (watchedSinceMs == null || watchedSinceMs > fromMs) return null
+        if (nowMs - confirmedAtMs > REGISTRATION_DELAY_MS) return null
         val recentlyLeft = left.filter { (version, atMs) -> version.service == service && atMs >= fromMs }.keys
         val versions = registered.map { it.serviceVersion }.toSet() + recentlyLeft
         return versions.singleOrNull()?.softwareVersion
     }
 
-    /** A stream that began at [softwareVersion], and can't be taken up any more at [untilMs]. */
+    /** The identifier of a stream: workspaces choose the identifiers of their attempts independently. */
+    public data class StreamId(
+        val workspace: String?,
+        val attemptId: String,
+    )
+
+    /** A stream with its [origin], which can't be taken up any more at [untilMs]. */
     public data class RecordedStream(
-        val softwareVersion: String,
+        val origin: StreamOrigin,
         val untilMs: Long,
     )
 
@@ -88,8 +113,5 @@
     private companion object {
         /** Processes learn of a registration, or of its end, with up to this much difference. */
         const val REGISTRATION_DELAY_MS = 5_000L
-
-        /** No caller waits longer for a stream. */
-        const val MAX_STREAM_MS = 600_000L
     }
 }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/StreamVersionsTest.kt
@@ -1,5 +1,8 @@
 package org.medlarhook.core.serving
 
+import org.medlarhook.core.serving.fleet.Upstream
+import org.medlarhook.core.serving.resume.BegunStream
+import org.medlarhook.core.serving.resume.StreamOrigin
 import org.medlarhook.core.serving.resume.StreamVersions
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -10,42 +13,72 @@
     private val second = upstream("e2") { softwareVersion = "v2" }
     private val watched = StreamVersions().registryChanged(emptyList(), listOf(first), 0)
 
+    /** A read of the registry at [nowMs] that shows no change. */
+    private fun StreamVersions.watchedUntil(nowMs: Long, vararg registered: Upstream): StreamVersions =
+        registryChanged(registered.toList(), registered.toList(), nowMs)
+
     private fun StreamVersions.single(nowMs: Long, vararg registered: String) =
         singleVersion("lm", listOf(first, second).filter { it.id in registered }, durationMs = 15_000, nowMs)
 
+    private fun StreamVersions.began(attemptId: String, version: String, remainingMs: Long, nowMs: Long = 0) =
+        began(BegunStream("w", attemptId, "lm", version, remainingMs), nowMs)
+
+    @Test
+    fun `Given a recorded stream, then its origin is known until it expires, with any number of versions`() {
+        val versions = watched.began("a", "v2", remainingMs = 5_000)
+
+        assertEquals(StreamOrigin.BegunAt("lm", "v2"), versions.recorded("w", "a", 4_999))
+        assertNull(versions.recorded("w", "a", 5_000))
+        assertNull(versions.recorded("w", "b", 1_000))
+        assertNull(versions.recorded("other", "a", 1_000))
+        assertNull(versions.prune(5_000).recorded("w", "a", 1_000))
+    }
+
+    @Test
+    fun `Given two streams of one identifier at two versions, then the origin of neither is known`() {
+        val versions = watched.began("a", "v1", remainingMs = 5_000).began("a", "v2", remainingMs = 1_000, nowMs = 100)
+
+        assertEquals(StreamOrigin.Unknown, versions.recorded("w", "a", 4_999))
+    }
+
+    @Test
+    fun `Given an identifier that is blank or too long, or an endless deadline, then memory stays bounded`() {
+        assertNull(watched.began(" ", "v1", remainingMs = 5_000).recorded("w", " ", 0))
+        assertNull(watched.began("a".repeat(65), "v1", remainingMs = 5_000).recorded("w", "a".repeat(65), 0))
+        assertNull(watched.began("a", "v1", remainingMs = Long.MAX_VALUE).recorded("w", "a", BegunStream.MAX_STREAM_MS))
+    }
+
     @Test
-    fun `Given a recorded stream, then its version is known until it expires, with any number of versions`() {
-        val versions = watched.began("a", "v2", untilMs = 5_000)
+    fun `Given no read of the registry for longer than a registration takes to spread, then no version is known`() {
+        val confirmed = watched.registryChanged(listOf(first), listOf(first), 20_000)
 
-        assertEquals("v2", versions.recorded("a", 4_999))
-        assertNull(versions.recorded("a", 5_000))
-        assertNull(versions.recorded("b", 1_000))
-        assertNull(versions.prune(5_000).recorded("a", 1_000))
+        assertEquals("v1", confirmed.single(25_000, "e1"))
+        assertNull(confirmed.single(25_001, "e1"))
     }
 
     @Test
     fun `Given one version for as long as a stream can run, then it is known`() {
-        assertEquals("v1", watched.single(20_000, "e1"))
-        assertNull(watched.single(19_999, "e1"))
+        assertEquals("v1", watched.watchedUntil(20_000, first).single(20_000, "e1"))
+        assertNull(watched.watchedUntil(19_999, first).single(19_999, "e1"))
     }
 
     @Test
     fun `Given two versions, or one that left while a stream can still run, then none is known`() {
         val both = watched.registryChanged(listOf(first), listOf(first, second), 30_000)
-        assertNull(both.single(60_000, "e1", "e2"))
+        assertNull(both.watchedUntil(60_000, first, second).single(60_000, "e1", "e2"))
 
         val replaced = both.registryChanged(listOf(first, second), listOf(second), 40_000)
-        assertNull(replaced.single(60_000, "e2"))
-        assertEquals("v2", replaced.single(60_001, "e2"))
+        assertNull(replaced.watchedUntil(60_000, second).single(60_000, "e2"))
+        assertEquals("v2", replaced.watchedUntil(60_001, second).single(60_001, "e2"))
     }
 
     @Test
     fun `Given a registry that was out of reach, then no version is known until it was watched long enough again`() {
         val back = watched.registryLost().registryChanged(listOf(first), listOf(first), 50_000)
 
-        assertNull(watched.registryLost().single(50_000, "e1"))
-        assertNull(back.single(69_999, "e1"))
-        assertEquals("v1", back.single(70_000, "e1"))
+        assertNull(watched.watchedUntil(50_000, first).registryLost().single(50_000, "e1"))
+        assertNull(back.watchedUntil(69_999, first).single(69_999, "e1"))
+        assertEquals("v1", back.watchedUntil(70_000, first).single(70_000, "e1"))
     }
 
     @Test
@@ -53,6 +86,6 @@
         val untold = upstream("e3")
         val versions = StreamVersions().registryChanged(emptyList(), listOf(untold), 0)
 
-        assertNull(versions.singleVersion("lm", listOf(untold), 15_000, 60_000))
+        assertNull(versions.watchedUntil(60_000, untold).singleVersion("lm", listOf(untold), 15_000, 60_000))
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -55,7 +55,8 @@
 
     private fun originFound(origin: StreamOrigin) {
         if (isDone) return
-        demand = demand.copy(origin = origin)
+        demand = serving.withOrigin(demand, origin)
+        record.demand = demand
         if (origin == StreamOrigin.Unknown) {
             refuse(ResultCode.STREAM_ORIGIN_UNKNOWN, RETRY_ELSEWHERE_MS)
         } else {
@@ -178,9 +179,8 @@
     /** Records that an event has reached the caller: from now on only the same software version may go on. */
     fun eventsDelivered() {
         if (demand.origin != StreamOrigin.NotBegun) return
-        val softwareVersion = placed?.upstream?.softwareVersion
-        demand = demand.copy(origin = StreamOrigin.of(softwareVersion))
-        serving.origins.began(call, demand, softwareVersion)
+        demand = demand.copy(origin = StreamOrigin.of(placed?.upstream))
+        serving.origins.began(call, demand, demand.origin)
     }
 
     private fun runStarted() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -17,6 +17,7 @@
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.place.Placer
 import org.medlarhook.core.serving.refuse.RetryAfterPolicy
+import org.medlarhook.core.serving.resume.StreamOrigin
 import org.medlarhook.core.serving.retry.WindowedRetryBudget
 import org.medlarhook.core.serving.shutdown.ShutdownAdmission
 import org.medlarhook.core.serving.shutdown.ShutdownWindow
@@ -44,7 +45,7 @@
     private val log: RequestLog,
 ) {
     val pool = UpstreamPool(loop, format, time)
-    val origins = StreamOrigins(time)
+    val origins = StreamOrigins(time) { observeClocks() }
     private val random = Random(System.nanoTime())
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
@@ -91,14 +92,19 @@
         configFreshness = configFreshness.confirmed(begunAtMs, clockGeneration)
     }
 
-    /** Compares the clocks: after a suspension of the VM, keys are refused until the configuration is read again. */
-    fun observeClocks() {
+    /**
+     * Compares the clocks: after a suspension of the VM, keys are refused until the configuration is read again. Returns
+     * a number that changes with each suspension.
+     */
+    fun observeClocks(): Int {
         configFreshness = configFreshness.observed(nowMs(), time.wallMs())
+        return configFreshness.generation
     }
 
-    fun updateRegistry(update: RegistryUpdate) {
+    /** Follows the registry; a read that began at [readAtMs] brought [update]. */
+    fun updateRegistry(update: RegistryUpdate, readAtMs: Long = nowMs()) {
         registry = registry.apply(update, nowMs())
-        origins.registryUpdated(update, registry)
+        origins.registryUpdated(update, registry, readAtMs)
         dropUnregistered()
     }
 
@@ -122,6 +128,7 @@
     /** Begins the graceful shutdown, from which on each answer closes its connection. */
     fun beginShutdown(window: ShutdownWindow) {
         shutdown = window
+        origins.stopping()
     }
 
     /** Periodic work: compares the clocks, and drops expired registrations with their loads and idle connections. */
@@ -203,6 +210,12 @@
 
     private fun estimatesOf(service: String): ServiceEstimates = estimates[service] ?: ServiceEstimates()
 
+    /** Returns [demand] as one of the service where its stream has begun, if it has. */
+    fun withOrigin(demand: Demand, origin: StreamOrigin): Demand {
+        val service = (origin as? StreamOrigin.BegunAt)?.service ?: demand.service
+        return demand.copy(origin = origin, service = service, engine = config?.services?.get(service)?.engine)
+    }
+
     /** True if an upstream that may serve [demand] is not in [tried]. */
     fun hasUntriedUpstream(demand: Demand, tried: Set<String>): Boolean =
         candidates(demand).any { it.id !in tried && it.stage != EngineStage.PREFILL }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -146,7 +146,7 @@
                     counts = usage.counts[window].orEmpty(),
                     isClosed = isClosing || window < current,
                     isLast = isClosing && window == current,
-                    peer = peer.address?.toString(),
+                    peer = peer.address()?.toString(),
                 )
                 if (published[window] == next) null else window to next
             }
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -12,11 +12,14 @@
 import org.medlarhook.core.routing.RendezvousHash
 import org.medlarhook.core.row.RowJson
 import org.medlarhook.core.serving.fleet.Endpoint
+import org.medlarhook.core.serving.resume.BegunStream
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.warnEvent
 import java.net.InetSocketAddress
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
+import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
 
@@ -30,18 +33,23 @@
     private val loop: EventLoop,
     private val address: Endpoint,
     private val listener: PeerListener,
+    private val time: TimeSource,
 ) : StreamPeers {
+    @Volatile
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
     private val untold = ArrayList<BegunStream>()
     private val openQuestions = HashMap<Long, OpenQuestion>()
-    private var lastQuestion = 0L
+    private var nextQuestion = Random.nextLong()
+    private var unreadableLoggedAtMs = Long.MIN_VALUE
 
     private class OpenQuestion(
         var awaited: Int,
         val timeout: Future<*>,
-        val onAnswer: (String?) -> Unit,
-    )
+        val onAnswer: (OriginReport?) -> Unit,
+    ) {
+        val answers = ArrayList<OriginReport>()
+    }
 
     /** Opens the socket; without it, streams of other processes are unknown and the process serves on. */
     fun open() {
@@ -59,6 +67,9 @@
         }
     }
 
+    /** The address at which this process can be reached, or null if the socket could not be opened. */
+    val boundAddress: Endpoint? get() = address.takeIf { channel != null }
+
     /** Sets the addresses of all serving processes; this one is left out. */
     fun update(addresses: Collection<Endpoint>) {
         peers = addresses.filter { it != address }.map { InetSocketAddress(it.host, it.port) }
@@ -84,23 +95,20 @@
     private fun holders(attemptId: String): List<InetSocketAddress> =
         RendezvousHash.top(attemptId.hashCode().toLong(), peers, HOLDERS) { it.toString() }
 
-    override fun ask(
-        attemptId: String,
-        service: String,
-        streamMs: Long,
-        onAnswer: (String?) -> Unit,
-    ) {
+    override fun ask(stream: StreamQuestion, onAnswer: (OriginReport?) -> Unit) {
         if (peers.isEmpty()) return onAnswer(null)
-        val number = ++lastQuestion
-        val timeout = loop.schedule({ close(number, null) }, ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        val number = nextQuestion++
+        val timeout = loop.schedule({ close(number) }, ANSWER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         openQuestions[number] = OpenQuestion(peers.size, timeout, onAnswer)
-        peers.forEach { send(PeerMessage.VersionQuestion(number, attemptId, service, streamMs), it) }
+        peers.forEach { send(PeerMessage.OriginQuestion(number, stream), it) }
     }
 
-    private fun close(question: Long, softwareVersion: String?) {
-        val open = openQuestions.remove(question) ?: return
+    /** A recorded origin is certain. Otherwise all processes that answered must have the same one in mind. */
+    private fun close(number: Long) {
+        val open = openQuestions.remove(number) ?: return
         open.timeout.cancel(false)
-        open.onAnswer(softwareVersion)
+        val recorded = open.answers.filter { it.isRecorded }.ifEmpty { open.answers }
+        open.onAnswer(recorded.distinct().singleOrNull())
     }
 
     private fun send(message: PeerMessage, peer: InetSocketAddress) {
@@ -112,18 +120,17 @@
     private fun received(message: PeerMessage, sender: InetSocketAddress) {
         when (message) {
             is PeerMessage.StreamsBegan -> message.streams.forEach { listener.began(it) }
-            is PeerMessage.VersionQuestion -> {
-                val version = listener.versionOf(message.attemptId, message.service, message.streamMs)
-                send(PeerMessage.VersionAnswer(message.question, version), sender)
-            }
-            is PeerMessage.VersionAnswer -> answered(message)
+            is PeerMessage.OriginQuestion ->
+                send(PeerMessage.OriginAnswer(message.number, listener.originOf(message.stream)), sender)
+            is PeerMessage.OriginAnswer -> answered(message)
         }
     }
 
-    private fun answered(answer: PeerMessage.VersionAnswer) {
-        val open = openQuestions[answer.question] ?: return
+    private fun answered(message: PeerMessage.OriginAnswer) {
+        val open = openQuestions[message.number] ?: return
         open.awaited--
-        if (answer.softwareVersion != null || open.awaited == 0) close(answer.question, answer.softwareVersion)
+        message.answer?.let { open.answers += it }
+        if (message.answer?.isRecorded == true || open.awaited == 0) close(message.number)
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -149,8 +156,11 @@
         /** Collects the streams of a busy process into few datagrams. */
         const val TELL_DELAY_MS = 20L
 
-        /** Keeps a datagram below the usual packet size of 1,500 bytes. */
-        const val STREAMS_PER_MESSAGE = 12
+        /** Keeps a datagram below the usual packet size of 1,500 bytes with identifiers of the greatest length. */
+        const val STREAMS_PER_MESSAGE = 4
+
+        /** Unreadable messages are logged once in this time. */
+        const val LOG_INTERVAL_MS = 1_000L
 
         /** A round trip between regions and a pause of a busy process; the caller waits meanwhile. */
         const val ANSWER_TIMEOUT_MS = 150L
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
@@ -2,40 +2,57 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.medlarhook.core.serving.resume.BegunStream
 
 /** What serving processes tell each other about streams, one JSON document a datagram. */
 @Serializable
 internal sealed interface PeerMessage {
-    /** Streams that have begun at the sender. */
+    /** Streams that have begun at the sender, or of which it was told. */
     @Serializable
     @SerialName("began")
     data class StreamsBegan(
         val streams: List<BegunStream>,
     ) : PeerMessage
 
-    /** Asks at which version the stream of [attemptId] began, which may have lasted for [streamMs]. */
+    /** Asks where a stream began; [number] tells the sender's questions apart. */
     @Serializable
     @SerialName("ask")
-    data class VersionQuestion(
-        val question: Long,
-        val attemptId: String,
-        val service: String,
-        val streamMs: Long,
+    data class OriginQuestion(
+        val number: Long,
+        val stream: StreamQuestion,
     ) : PeerMessage
 
-    /** Answers a [VersionQuestion]; [softwareVersion] is null if the sender does not know it. */
+    /** Answers question [number]; [answer] is null if the sender does not know. */
     @Serializable
     @SerialName("tell")
-    data class VersionAnswer(
-        val question: Long,
-        val softwareVersion: String?,
+    data class OriginAnswer(
+        val number: Long,
+        val answer: OriginReport?,
     ) : PeerMessage
 }
 
-/** A stream that began at [softwareVersion] and can be taken up for [remainingMs]. */
+/**
+ * A stream whose origin is asked for.
+ *
+ * @property workspace the workspace of the caller, or null if it needs no key.
+ * @property attemptId the attempt that began it, or null if the caller does not name it.
+ * @property service the service that would go on with it.
+ * @property hasOneService true if the route has no other service that may have begun it.
+ * @property streamMs how long ago it may have begun.
+ */
 @Serializable
-internal data class BegunStream(
-    val attemptId: String,
+internal data class StreamQuestion(
+    val workspace: String?,
+    val attemptId: String?,
+    val service: String,
+    val hasOneService: Boolean,
+    val streamMs: Long,
+)
+
+/** Where a stream began; [isRecorded] is false if the only version of the service was taken. */
+@Serializable
+internal data class OriginReport(
+    val service: String,
     val softwareVersion: String,
-    val remainingMs: Long,
+    val isRecorded: Boolean,
 )
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -83,7 +83,7 @@
         override fun received(read: RegistryRead, begunAtMs: Long, clockGeneration: Int) {
             read.unreadable.forEach { logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it) }
             logUpdate(read.update)
-            serving.loop.execute { serving.updateRegistry(read.update) }
+            serving.loop.execute { serving.updateRegistry(read.update, begunAtMs) }
         }
 
         override fun unreachable() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -52,7 +52,7 @@
         ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
-    private val peers = settings.peer?.let { DatagramPeers(serving.loop, it, serving.origins) }
+    private val peers = settings.peer?.let { DatagramPeers(serving.loop, it, serving.origins, time) }
     private val feeds = Feeds(ports.store, serving, time)
     private val usageReporter =
         UsageReporter(
@@ -63,7 +63,7 @@
             ports.reporting,
             settings.bounds,
             time,
-            ReportedPeer(settings.peer) { addresses -> peers?.update(addresses) },
+            ReportedPeer({ peers?.boundAddress }) { addresses -> peers?.update(addresses) },
         )
     private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
     private val stopped = CountDownLatch(1)
