Send no new work to an upstream that says in an answer that it leaves

Cause: Server-Leaving was read nowhere.

Change: each head of an upstream's answer, including late ones and those of prefills and cache releases, passes UpstreamAvailability before the attempt it belongs to. Placement, and with it the sources of prefix fetches, leaves such upstreams out; a connection that opens too late is closed and its request placed anew, and so is a decode whose prefill is done. Idle connections are closed. Log event 611 and a counter.

Ruled out: taking the announcement into the registry, where a listing or a change that still says ready would revoke it.

Not run: a test of the window in which a connection is being opened, and of Kv-Fetch over the wire.

--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -56,4 +56,5 @@
     REGISTRATION_UNREADABLE(608, "Registration could not be read; its upstream is ignored"),
     SETTINGS_RELOADED(609, "Settings reloaded"),
     SETTINGS_UNREADABLE(610, "Changed settings could not be read; the previous ones stay in force"),
+    UPSTREAM_LEAVES(611, "Upstream says that it leaves; it gets no more work"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -65,7 +65,7 @@
 
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         if (isDiscarding) return
-        account { tracker.failed(wasSent) }
+        account { if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent) }
         relay.interrupted()
         exchange.attemptFailed(reason, wasSent)
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -121,6 +121,10 @@
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
     fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
         if (isDone) return serving.releaseCache(chosen.prefill!!, cacheHandle)
+        if (!serving.accepts(chosen.upstream)) {
+            serving.releaseCache(chosen.prefill!!, cacheHandle)
+            return prefillFailed("decode_not_accepted")
+        }
         send(chosen, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), serving.nowMs())
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -48,7 +48,7 @@
 
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         body.release()
-        tracker.failed(wasSent = false)
+        if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent = false)
         exchange.prefillFailed(reason.name.lowercase())
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -1,8 +1,10 @@
 package org.medlarhook.serving.call
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
@@ -64,6 +66,26 @@
         }
     }
 
+    /** Logs and counts that [upstream] has announced in an answer that it leaves. */
+    fun upstreamLeaves(upstream: Upstream) {
+        announcements("leaving").increment()
+        if (isQuiet) return
+        logger.event(
+            LogEvent.UPSTREAM_LEAVES,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "address" to upstream.address,
+            "service" to upstream.service,
+        )
+    }
+
+    private fun announcements(kind: String): Counter =
+        Counter
+            .builder("medlarhook.upstreams.announcements")
+            .description("Answers in which an upstream said that it wants no more work")
+            .tag("kind", kind)
+            .register(registry)
+
     private fun statusOf(outcome: Outcome): Int? =
         when (outcome) {
             is Outcome.Answered -> outcome.status
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -24,6 +24,7 @@
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.process.ServingBounds
+import org.medlarhook.serving.upstream.UpstreamAvailability
 import org.medlarhook.serving.upstream.UpstreamPool
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -43,7 +44,8 @@
     private val placer: Placer,
     private val log: RequestLog,
 ) {
-    val pool = UpstreamPool(loop, format, time)
+    private val availability = UpstreamAvailability(time, log)
+    val pool = UpstreamPool(loop, format, time, availability)
     val origins = StreamOrigins()
     private val random = Random(System.nanoTime())
     private val retryAfterPolicy = RetryAfterPolicy(random)
@@ -53,6 +55,10 @@
     private var processCount = 1
     private var inFlight = 0
 
+    init {
+        availability.onLeaving = { pool.closeIdle(it.incarnation) }
+    }
+
     var config: ServingConfig? = null
         private set
     var registry = UpstreamRegistry()
@@ -185,7 +191,12 @@
 
     /** The engines of the prefill stage only prepare a prompt, so that their version does not matter. */
     private fun candidates(demand: Demand): List<Upstream> =
-        registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL || demand.origin.permits(it) }
+        registry.serving(demand.service)
+            .filter { it.stage == EngineStage.PREFILL || demand.origin.permits(it) }
+            .filterNot { availability.isLeaving(it.incarnation) }
+
+    /** True if [upstream] may still be sent a request that was placed there earlier. */
+    fun accepts(upstream: Upstream): Boolean = availability.accepts(upstream)
 
     /** Records that a first event predicted in [predictedMs] came, or was no longer awaited, after [observedMs]. */
     fun firstEventObserved(service: String, predictedMs: Double, observedMs: Double) {
@@ -230,8 +241,9 @@
     fun prefillUpstreamIds(demand: Demand): List<String> =
         registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL }.map { it.id }
 
-    /** Frees the cache that [upstream] keeps under [cacheHandle]. */
+    /** Frees the cache that [upstream] keeps under [cacheHandle], or leaves it to expire if that wants no requests. */
     fun releaseCache(upstream: Upstream, cacheHandle: String) {
+        if (!accepts(upstream)) return
         pool.send(
             upstream,
             null,
@@ -280,6 +292,7 @@
 
     private fun dropUnregistered() {
         val known = registry.all().map(Upstream::incarnation).toSet()
+        availability.prune(known)
         pool.prune(known)
         val removed = loads.keys.filter { it !in known }
         if (removed.isNotEmpty()) loads = removed.fold(loads) { kept, incarnation -> kept.remove(incarnation) }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -12,6 +12,7 @@
  * @property closesConnection true if the upstream closes the connection after the answer.
  * @property idleTimeoutMs how long the upstream keeps the connection open when idle, if the answer says so.
  * @property isStamped true if the answer carries the upstream's stamp.
+ * @property isLeaving true if the upstream says that it leaves and wants no new work.
  */
 public data class UpstreamHead(
     val status: Int,
@@ -24,6 +25,7 @@
     val closesConnection: Boolean,
     val idleTimeoutMs: Long?,
     val isStamped: Boolean,
+    val isLeaving: Boolean,
 ) {
     /** True for a success without the upstream's stamp: it comes from a faulty upstream and is not a valid answer. */
     val isUnstampedSuccess: Boolean get() = status < FIRST_REDIRECT && !isStamped
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -37,4 +37,7 @@
     CONNECT_FAILED,
     CONNECTION_LOST,
     UNREADABLE_ANSWER,
+
+    /** The upstream said that it wants no more work while the connection to it was being opened. */
+    WORK_NOT_ACCEPTED,
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -19,11 +19,14 @@
  *
  * An answer with the id of another attempt is a late answer to an earlier attempt: it is discarded, and the attempt
  * keeps waiting for its own. A head that arrives while no attempt waits closes the connection.
+ *
+ * @param onHead called with each head, including those of late answers, before the attempt that it belongs to.
  */
 internal class UpstreamConnection(
     private val format: CallFormat,
     private val onIdle: (UpstreamConnection) -> Unit,
     private val onClosed: (UpstreamConnection) -> Unit,
+    private val onHead: (UpstreamHead) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var listener: AttemptListener? = null
@@ -82,8 +85,9 @@
     }
 
     private fun onResponse(response: HttpResponse) {
-        val current = listener ?: return close()
         val head = format.readHead(response)
+        onHead(head)
+        val current = listener ?: return close()
         if (head.status < FIRST_FINAL_STATUS) {
             isSkipping = true
             return
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -26,6 +26,7 @@
     private val loop: EventLoop,
     private val format: CallFormat,
     private val time: TimeSource,
+    private val availability: UpstreamAvailability,
 ) {
     private val idle = HashMap<Incarnation, ArrayDeque<UpstreamConnection>>()
     private var open = 0
@@ -57,11 +58,12 @@
         return handle
     }
 
-    /** Closes connections that have been idle too long, and all idle ones to upstreams that are not in [known]. */
+    /** Closes connections that have been idle too long, and all idle ones to upstreams not [known] or that leave. */
     fun prune(known: Set<Incarnation>) {
         val nowMs = time.monotonicMs()
         idle.entries.removeIf { (incarnation, connections) ->
-            val expired = connections.filter { incarnation !in known || !isReusable(it, nowMs) }
+            val isUseless = incarnation !in known || availability.isLeaving(incarnation)
+            val expired = connections.filter { isUseless || !isReusable(it, nowMs) }
             connections.removeAll(expired.toSet())
             expired.forEach { it.close() }
             connections.isEmpty()
@@ -96,6 +98,7 @@
                 format,
                 onIdle = { release(upstream.incarnation, it) },
                 onClosed = { closed(upstream.incarnation, it) },
+                onHead = { availability.answered(upstream, it) },
             )
         val connecting = bootstrap(upstream.address, connection)
         open++
@@ -111,6 +114,11 @@
                     request.release()
                     release(upstream.incarnation, connection)
                 }
+                !availability.accepts(upstream) -> {
+                    request.release()
+                    connection.close()
+                    handle.listener.onFailure(AttemptFailure.WORK_NOT_ACCEPTED, wasSent = false)
+                }
                 else -> {
                     handle.connection = connection
                     connection.send(attemptId, request, handle.listener)
