Send nothing to an upstream for the time that its Retry-After names

Cause: the Retry-After of an upstream's 503 was read nowhere. The rejected request went elsewhere, the next ones to the same upstream again, which looks idle: in ClosedUpstreamTest nearly every call in the closed second reached it.

Change: UpstreamClosings (core) keeps by incarnation until when an upstream wants nothing, on the monotonic clock from the answer, rounded up, at most 300 s, and up to a tenth longer by a random share of the process. Placement, prefills, sources of prefix fetches, cache releases, decodes whose prefill is done and connections that open too late keep to it. If all that could serve a request are closed, Placement.AllClosed lets it wait until the first opens (ReopeningWait, spread over up to 100 ms) or refuses it at once with a Retry-After from that time. Malformed and negative values close nothing. Log events 612 and 613, a counter.

The request that was already on its way is rejected as before and retried from the retry budget.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Placement.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Placement.kt
@@ -48,6 +48,11 @@
         val admissibleInMs: Double,
     ) : Placement
 
+    /** All upstreams that the request could go to are closed; the first one opens after [opensInMs]. */
+    public data class AllClosed(
+        val opensInMs: Long,
+    ) : Placement
+
     /** The service has no upstream that the request could go to. */
     public data object NoUpstream : Placement
 }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -57,4 +57,6 @@
     SETTINGS_RELOADED(609, "Settings reloaded"),
     SETTINGS_UNREADABLE(610, "Changed settings could not be read; the previous ones stay in force"),
     UPSTREAM_LEAVES(611, "Upstream says that it leaves; it gets no more work"),
+    UPSTREAM_CLOSES(612, "Upstream asks for no requests for some time; it gets none until then"),
+    RETRY_AFTER_MALFORMED(613, "Upstream sent a malformed Retry-After; it is not closed"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -96,6 +96,7 @@
                 ResultCode.DEADLINE_UNREACHABLE,
                 serving.retryAfterMs(demand, placement, nowMs),
             )
+            is Placement.AllClosed -> awaitReopening(placement, nowMs)
             is Placement.NoUpstream -> refuseIfNotRun(
                 ResultCode.NO_UPSTREAM,
                 serving.retryAfterMs(demand, placement, nowMs),
@@ -103,6 +104,17 @@
         }
     }
 
+    /** Places the request again once an upstream opens, or refuses it at once if that is too late. */
+    private fun awaitReopening(placement: Placement.AllClosed, nowMs: Long) {
+        val waitMs = serving.reopeningWaitMs(demand, placement, nowMs)
+        if (waitMs == null) {
+            refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.retryAfterMs(demand, placement, nowMs))
+        } else {
+            handle = null
+            serving.schedule(nowMs + waitMs) { if (!isDone) place() }
+        }
+    }
+
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
         placed = chosen
         placedAtMs = nowMs
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -79,6 +79,31 @@
         )
     }
 
+    /** Logs and counts that [upstream] has asked with the Retry-After [value] to get nothing for [opensInMs]. */
+    fun upstreamCloses(upstream: Upstream, value: String, opensInMs: Long) {
+        announcements("closed").increment()
+        if (isQuiet) return
+        logger.event(
+            LogEvent.UPSTREAM_CLOSES,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "retryAfter" to value.take(MAX_LOGGED_CHARS),
+            "opensInMs" to opensInMs,
+        )
+    }
+
+    /** Logs and counts that [upstream] has sent the malformed Retry-After [value]. */
+    fun retryAfterMalformed(upstream: Upstream, value: String) {
+        announcements("malformed").increment()
+        if (isQuiet) return
+        logger.warnEvent(
+            LogEvent.RETRY_AFTER_MALFORMED,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "retryAfter" to value.take(MAX_LOGGED_CHARS),
+        )
+    }
+
     private fun announcements(kind: String): Counter =
         Counter
             .builder("medlarhook.upstreams.announcements")
@@ -105,6 +130,8 @@
         }
 
     private companion object {
+        const val MAX_LOGGED_CHARS = 40
+
         val OBJECTIVES: Array<Duration> =
             longArrayOf(25, 50, 100, 200, 400, 800, 2_000, 5_000, 15_000).map(Duration::ofMillis).toTypedArray()
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -16,6 +16,7 @@
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.place.Placer
+import org.medlarhook.core.serving.refuse.ReopeningWait
 import org.medlarhook.core.serving.refuse.RetryAfterPolicy
 import org.medlarhook.core.serving.retry.WindowedRetryBudget
 import org.medlarhook.core.serving.shutdown.ShutdownAdmission
@@ -44,10 +45,10 @@
     private val placer: Placer,
     private val log: RequestLog,
 ) {
-    private val availability = UpstreamAvailability(time, log)
+    private val random = Random(System.nanoTime())
+    private val availability = UpstreamAvailability(time, random, log)
     val pool = UpstreamPool(loop, format, time, availability)
     val origins = StreamOrigins()
-    private val random = Random(System.nanoTime())
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var retryBudgets: PersistentMap<String, WindowedRetryBudget> = persistentMapOf()
@@ -186,8 +187,20 @@
     }
 
     /** Chooses the upstream of [demand] among those that may serve it and are not in [tried]. */
-    fun place(demand: Demand, tried: Set<String>, nowMs: Long): Placement =
-        placer.place(demand, candidates(demand), loads, tried, estimatesOf(demand.service), nowMs)
+    fun place(demand: Demand, tried: Set<String>, nowMs: Long): Placement {
+        val candidates = candidates(demand)
+        val open = candidates.filterNot { availability.isClosed(it.incarnation, nowMs) }
+        val placement = placer.place(demand, open, loads, tried, estimatesOf(demand.service), nowMs)
+        if (placement !is Placement.NoUpstream) return placement
+        return opensInMs(candidates, tried, nowMs)?.let { Placement.AllClosed(it) } ?: placement
+    }
+
+    private fun opensInMs(candidates: List<Upstream>, tried: Set<String>, nowMs: Long): Long? =
+        availability.opensInMs(candidates.filter { it.id !in tried && it.stage != EngineStage.PREFILL }, nowMs)
+
+    /** How long [demand] waits for the first closed upstream to open, or null if that takes longer than its time. */
+    fun reopeningWaitMs(demand: Demand, placement: Placement.AllClosed, nowMs: Long): Long? =
+        ReopeningWait.waitMs(placement.opensInMs, demand.deadlineAtMs - nowMs, random.nextDouble())
 
     /** The engines of the prefill stage only prepare a prompt, so that their version does not matter. */
     private fun candidates(demand: Demand): List<Upstream> =
@@ -210,9 +223,13 @@
 
     private fun estimatesOf(service: String): ServiceEstimates = estimates[service] ?: ServiceEstimates()
 
-    /** True if an upstream that may serve [demand] is not in [tried]. */
+    /** True if an upstream that may serve [demand], and opens in its time, is not in [tried]. */
     fun hasUntriedUpstream(demand: Demand, tried: Set<String>): Boolean =
-        candidates(demand).any { it.id !in tried && it.stage != EngineStage.PREFILL }
+        candidates(demand).any {
+            it.id !in tried &&
+                it.stage != EngineStage.PREFILL &&
+                !availability.isClosed(it.incarnation, demand.deadlineAtMs)
+        }
 
     /** Takes one retry from the budget of [service], or returns false if none is left. */
     fun withdrawRetry(service: String, nowMs: Long): Boolean {
@@ -224,13 +241,21 @@
     /** The Retry-After time of a request that was refused with [placement]. */
     fun retryAfterMs(demand: Demand, placement: Placement, nowMs: Long): Long {
         val remainingMs = demand.deadlineAtMs - nowMs
-        val admissibleInMs = (placement as? Placement.NoCapacity)?.admissibleInMs ?: RETRY_WITHOUT_UPSTREAM_MS
+        val admissibleInMs =
+            when (placement) {
+                is Placement.NoCapacity -> placement.admissibleInMs
+                is Placement.AllClosed -> placement.opensInMs.toDouble()
+                else -> RETRY_WITHOUT_UPSTREAM_MS
+            }
         return retryAfterPolicy.retryAfterMs(remainingMs, admissibleInMs)
     }
 
     /** The Retry-After time of a request that the upstreams themselves refused or that did not reach one. */
-    fun busyRetryAfterMs(demand: Demand): Long =
-        retryAfterMs(demand, Placement.NoCapacity(FULL_QUEUE_DRAIN_MS), nowMs())
+    fun busyRetryAfterMs(demand: Demand): Long {
+        val nowMs = nowMs()
+        val opensInMs = opensInMs(candidates(demand), emptySet(), nowMs) ?: 0
+        return retryAfterMs(demand, Placement.NoCapacity(maxOf(FULL_QUEUE_DRAIN_MS, opensInMs.toDouble())), nowMs)
+    }
 
     /** Applies [change] to the load of the upstream with [incarnation]. */
     fun updateLoad(incarnation: Incarnation, slots: Int, change: (UpstreamLoad) -> UpstreamLoad) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -12,6 +12,7 @@
  * @property closesConnection true if the upstream closes the connection after the answer.
  * @property idleTimeoutMs how long the upstream keeps the connection open when idle, if the answer says so.
  * @property isStamped true if the answer carries the upstream's stamp.
+ * @property retryAfter how long the upstream wants no requests from this process, if a rejection says so.
  * @property isLeaving true if the upstream says that it leaves and wants no new work.
  */
 public data class UpstreamHead(
@@ -25,6 +26,7 @@
     val closesConnection: Boolean,
     val idleTimeoutMs: Long?,
     val isStamped: Boolean,
+    val retryAfter: ReportedRetryAfter?,
     val isLeaving: Boolean,
 ) {
     /** True for a success without the upstream's stamp: it comes from a faulty upstream and is not a valid answer. */
@@ -47,3 +49,14 @@
     val waiting: Int,
     val slots: Int,
 )
+
+/**
+ * The Retry-After of an upstream's rejection.
+ *
+ * @property text the value as received.
+ * @property seconds the value as a number, or null if it is malformed. It is not bounded.
+ */
+public data class ReportedRetryAfter(
+    val text: String,
+    val seconds: Double?,
+)
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
@@ -3,9 +3,12 @@
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.fleet.LeavingUpstreams
 import org.medlarhook.core.serving.fleet.Upstream
+import org.medlarhook.core.serving.fleet.UpstreamClosings
 import org.medlarhook.ports.TimeSource
+import org.medlarhook.serving.call.ReportedRetryAfter
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.UpstreamHead
+import kotlin.random.Random
 
 /**
  * Holds what upstreams have said in their answers about the work that they want. Used on the event loop only.
@@ -14,9 +17,12 @@
  */
 internal class UpstreamAvailability(
     private val time: TimeSource,
+    private val random: Random,
     private val log: RequestLog,
 ) {
     private var leaving = LeavingUpstreams()
+    private var closings = UpstreamClosings()
+    private val sentMalformed = HashSet<Incarnation>()
 
     /** Called with each upstream that has just announced that it leaves. */
     var onLeaving: (Upstream) -> Unit = {}
@@ -29,16 +35,40 @@
             log.upstreamLeaves(upstream)
             onLeaving(upstream)
         }
+        head.retryAfter?.let { rejected(upstream, it) }
+    }
+
+    private fun rejected(upstream: Upstream, retryAfter: ReportedRetryAfter) {
+        val seconds = retryAfter.seconds
+        if (seconds == null) {
+            if (sentMalformed.add(upstream.incarnation)) log.retryAfterMalformed(upstream, retryAfter.text)
+            return
+        }
+        val nowMs = time.monotonicMs()
+        val wasOpen = !isClosed(upstream.incarnation, nowMs)
+        closings = closings.closed(upstream.incarnation, seconds, random.nextDouble(), nowMs)
+        val opensInMs = closings.opensInMs(listOf(upstream), nowMs)
+        if (wasOpen && opensInMs != null) log.upstreamCloses(upstream, retryAfter.text, opensInMs)
     }
 
     /** True if [upstream] may be sent a request now. */
-    fun accepts(upstream: Upstream): Boolean = !isLeaving(upstream.incarnation)
+    fun accepts(upstream: Upstream): Boolean =
+        !isLeaving(upstream.incarnation) && !isClosed(upstream.incarnation, time.monotonicMs())
+
+    /** True if [incarnation] has asked for no requests until after [atMs]. */
+    fun isClosed(incarnation: Incarnation, atMs: Long): Boolean = closings.isClosed(incarnation, atMs)
+
+    /** The time until the first of [upstreams] opens, or null if one of them is open or there are none. */
+    fun opensInMs(upstreams: List<Upstream>, nowMs: Long): Long? = closings.opensInMs(upstreams, nowMs)
 
     /** True if [incarnation] has announced that it leaves. */
     fun isLeaving(incarnation: Incarnation): Boolean = incarnation in leaving
 
     /** Drops what is known of upstreams that have not been in [registered] for some time. */
     fun prune(registered: Set<Incarnation>) {
-        leaving = leaving.prune(registered, time.monotonicMs())
+        val nowMs = time.monotonicMs()
+        leaving = leaving.prune(registered, nowMs)
+        closings = closings.prune(nowMs)
+        sentMalformed.retainAll(registered)
     }
 }
