--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -56,6 +56,9 @@
     REGISTRATION_UNREADABLE(608, "Registration could not be read; its upstream is ignored"),
     SETTINGS_RELOADED(609, "Settings reloaded"),
     SETTINGS_UNREADABLE(610, "Changed settings could not be read; the previous ones stay in force"),
+    UPSTREAM_LEAVES(611, "Upstream says that it leaves; it gets no more work"),
+    UPSTREAM_CLOSES(612, "Upstream asks for no requests for some time; it gets none until then"),
+    RETRY_AFTER_MALFORMED(613, "Upstream sent a malformed Retry-After; it is not closed"),
     PEERS_UNREACHABLE(616, "Other processes can't be reached; streams that they began are not taken up"),
     PEER_MESSAGE_UNREADABLE(617, "Message of another process could not be read; it is ignored"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -1,8 +1,10 @@
 package org.medlarhook.serving.call
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
@@ -64,6 +66,51 @@
         }
     }
 
+    /** Logs and counts that [upstream] has announced in an answer that it leaves. */
+    fun upstreamLeaves(upstream: Upstream) {
+        announcements("leaving").increment()
+        if (isQuiet) return
+        logger.event(
+            LogEvent.UPSTREAM_LEAVES,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "address" to upstream.address,
+            "service" to upstream.service,
+        )
+    }
+
+    /** Logs and counts that [upstream] has asked with the Retry-After [value] to get nothing for [opensInMs]. */
+    fun upstreamCloses(upstream: Upstream, value: String, opensInMs: Long) {
+        announcements("closed").increment()
+        if (isQuiet) return
+        logger.event(
+            LogEvent.UPSTREAM_CLOSES,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "retryAfter" to value.take(MAX_LOGGED_CHARS),
+            "opensInMs" to opensInMs,
+        )
+    }
+
+    /** Logs and counts that [upstream] has sent the malformed Retry-After [value]. */
+    fun retryAfterMalformed(upstream: Upstream, value: String) {
+        announcements("malformed").increment()
+        if (isQuiet) return
+        logger.warnEvent(
+            LogEvent.RETRY_AFTER_MALFORMED,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "retryAfter" to value.take(MAX_LOGGED_CHARS),
+        )
+    }
+
+    private fun announcements(kind: String): Counter =
+        Counter
+            .builder("medlarhook.upstreams.announcements")
+            .description("Answers in which an upstream said that it wants no more work")
+            .tag("kind", kind)
+            .register(registry)
+
     private fun statusOf(outcome: Outcome): Int? =
         when (outcome) {
             is Outcome.Answered -> outcome.status
@@ -84,6 +131,8 @@
         }
 
     private companion object {
+        const val MAX_LOGGED_CHARS = 40
+
         val OBJECTIVES: Array<Duration> =
             longArrayOf(25, 50, 100, 200, 400, 800, 2_000, 5_000, 15_000).map(Duration::ofMillis).toTypedArray()
     }
