--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -56,4 +56,5 @@
     REGISTRATION_UNREADABLE(608, "Registration could not be read; its upstream is ignored"),
     SETTINGS_RELOADED(609, "Settings reloaded"),
     SETTINGS_UNREADABLE(610, "Changed settings could not be read; the previous ones stay in force"),
+    STORE_ERA_ROSE(614, "The platform's store came back from an older copy; its tables are read whole again"),
 }
