Read both feeds whole after a drill, and let no older configuration confirm keys

Cause: after a drill a feed position may be valid again with other rows behind it, so that a change was never seen; and any read of the store confirmed the configuration in force, also one that showed an older version, so that keys were accepted for as long as the older version stood there. Change: FeedFollower forgets its position and drops the read that was open when the era rose, and reads the whole table within 200 ms. ConfigFreshness knows the version that the store shows: while it is older than one seen before, or none, reads confirm nothing, and keyed requests are refused as not run once the age limit is over. The version in force stays. Ruled out: to withdraw the confirmation at the rise; a key that was withdrawn after the last read may be accepted for as long as the limit allows in any case.

--- a/core/src/test/kotlin/org/medlarhook/core/serving/ConfigFreshnessTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/ConfigFreshnessTest.kt
@@ -33,6 +33,22 @@
         assertTrue(resumed.confirmed(210, begunInGeneration = resumed.generation).mayAccept(220))
     }
 
+    @Test
+    fun `Given a store that shows an older version than before, then reads confirm nothing until it is back`() {
+        val restored = freshness.shown(version = 7).storeRestored().shown(version = 5)
+
+        assertFalse(restored.confirmed(2_000, begunInGeneration = 0).mayAccept(4_501))
+        assertTrue(restored.shown(version = 7).confirmed(2_000, begunInGeneration = 0).mayAccept(4_501))
+    }
+
+    @Test
+    fun `Given a store that shows no version after a drill, then reads confirm nothing`() {
+        val restored = freshness.shown(version = 7).storeRestored()
+
+        assertFalse(restored.confirmed(2_000, begunInGeneration = 0).mayAccept(4_501))
+        assertTrue(restored.confirmed(2_000, begunInGeneration = 0).mayAccept(4_500))
+    }
+
     @Test
     fun `Given a wall clock that jumps back, then keys are still accepted`() {
         assertTrue(freshness.observed(nowMs = 200, wallMs = 998_000).mayAccept(200))
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -80,12 +80,18 @@
 
     /** Puts [newer] in force, and returns false if its version is not later than the current one. */
     fun configure(newer: ServingConfig): Boolean {
+        configFreshness = configFreshness.shown(newer.version)
         val current = config
         if (current != null && newer.version <= current.version) return false
         config = newer
         return true
     }
 
+    /** Records that the store came back from an older copy, so that an older configuration may stand in it. */
+    fun storeRestored() {
+        configFreshness = configFreshness.storeRestored()
+    }
+
     /** Records that a read which began at [begunAtMs] in [clockGeneration] has confirmed the configuration. */
     fun confirmConfig(begunAtMs: Long, clockGeneration: Int) {
         configFreshness = configFreshness.confirmed(begunAtMs, clockGeneration)
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/FeedFollower.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/FeedFollower.kt
@@ -7,21 +7,27 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
 import kotlin.concurrent.thread
+import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
 
 /**
  * Follows one table of the store on a separate thread: reads it whole, then waits for changes.
  *
+ * When the era of the store rises, the position is forgotten, because it may be valid again with other rows behind it,
+ * and so is a read that was open at that moment. The table is then read whole.
+ *
  * @param T the result of a read, which holds the position where the next wait begins.
  */
 internal class FeedFollower<T>(
     private val name: String,
     private val time: TimeSource,
+    private val era: StoreEra,
     private val source: FeedSource<T>,
     private val sink: FeedSink<T>,
 ) {
     private var position: Long? = null
+    private var knownEra: Long? = null
     private var isReachable = true
 
     @Volatile
@@ -44,6 +50,7 @@
         val from = position
         val result = if (from == null) source.readAll() else source.await(from, WAIT_MS)
         if (isStopped) return
+        if (hasEraRisen()) return restart()
         result.fold(
             { failure -> failed(failure) },
             { read ->
@@ -54,6 +61,18 @@
         )
     }
 
+    private fun hasEraRisen(): Boolean {
+        val before = knownEra
+        knownEra = era.current
+        return before != null && before != knownEra
+    }
+
+    private fun restart() {
+        position = null
+        sink.storeRestored()
+        Thread.sleep(Random.nextLong(RESTART_SPREAD_MS))
+    }
+
     private fun storeReached() {
         if (isReachable) return
         isReachable = true
@@ -78,6 +97,9 @@
 
         /** Time between two tries while the store is unreachable; short compared with its bounds of seconds. */
         const val RETRY_MS = 150L
+
+        /** Spreads the reads of all processes after a drill, which they notice at the same moment. */
+        const val RESTART_SPREAD_MS = 200L
     }
 }
 
@@ -100,4 +122,7 @@
 
     /** Handles a read that did not reach the store. */
     fun unreachable()
+
+    /** Handles a drill: the store came back from an older copy, and the table is read whole next. */
+    fun storeRestored()
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -14,14 +14,15 @@
 /** Keeps configuration and registry of a [ServingLoop] up to date from the store. */
 internal class Feeds(
     private val store: ControlStore,
+    private val era: StoreEra,
     private val serving: ServingLoop,
     private val time: TimeSource,
 ) {
     @Volatile
     private var clockGeneration = 0
 
-    private val config = FeedFollower("config", time, ConfigFeed(), ConfigSink())
-    private val registry = FeedFollower("registry", time, RegistryFeed(), RegistrySink())
+    private val config = FeedFollower("config", time, era, ConfigFeed(), ConfigSink())
+    private val registry = FeedFollower("registry", time, era, RegistryFeed(), RegistrySink())
 
     fun start() {
         config.start()
@@ -67,6 +68,10 @@
         override fun unreachable() {
             serving.loop.execute { this@Feeds.clockGeneration = serving.configFreshness.generation }
         }
+
+        override fun storeRestored() {
+            serving.loop.execute { serving.storeRestored() }
+        }
     }
 
     private inner class RegistryFeed : FeedSource<RegistryRead> {
@@ -90,6 +95,9 @@
             serving.loop.execute { serving.updateRegistry(RegistryUpdate.Unreachable) }
         }
 
+        /** A drill is an outage that ends with the next read: live upstreams whose rows are gone register again. */
+        override fun storeRestored() = unreachable()
+
         private fun logUpdate(update: RegistryUpdate) {
             when (update) {
                 is RegistryUpdate.Listing ->
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -31,6 +31,7 @@
 public class ServingPorts(
     public val format: CallFormat,
     public val store: ControlStore,
+    public val era: StoreEra,
     public val tables: TableService,
     public val clock: StoreClock,
     public val reporting: WindowReporting,
@@ -50,7 +51,7 @@
         ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
-    private val feeds = Feeds(ports.store, serving, time)
+    private val feeds = Feeds(ports.store, ports.era, serving, time)
     private val usageReporter =
         UsageReporter(
             settings.process,
