End a lease's authority at a drill, and give out no epoch a second time

Cause: after a drill the lease and epoch rows are some seconds old: the next process took an epoch that another had acted under, and a holder whose row was gone went on until its lease was over. LeaseManager ends the authority as soon as the era rises and begins again in the new rows, where a missing row is free only after it was seen missing for a whole take-over time. Without eras (0) rows and epochs are as before. Authority checks the era, so the usage reporter stops at the first answer of a new era. Ruled out: to let the holder go on in the new era at once; it doesn't know what others froze in the lost seconds.

--- a/core/src/main/kotlin/org/medlarhook/core/lease/Authority.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/Authority.kt
@@ -5,7 +5,7 @@
 /**
  * Proof that a process holds a lease. The holder checks it before each outbound call and passes it along with writes.
  *
- * @property epoch grows by one each time the lease passes to another holder.
+ * @property epoch grows each time the lease passes to another holder: by one within an era of the tables.
  * @property epochRowVersion the version of the epoch row, which changes only when a successor takes over.
  * @property validUntilMs expiry of the lease on the holder's monotonic clock.
  */
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseGroup.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseGroup.kt
@@ -14,7 +14,7 @@
 ) {
     /** The manager of each scope, in the order given. */
     public val managers: Map<LeaseScope, LeaseManager> =
-        scopes.associateWith { LeaseManager(it, holder, settings, tables, time, ::mayAcquire) }
+        scopes.associateWith { LeaseManager(it, holder, settings, tables, time, mayAcquire = ::mayAcquire) }
 
     /** Performs the due calls of each lease. */
     public fun run() {
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
@@ -12,6 +12,9 @@
  * overlap as long as the rates of their clocks differ by less than the margin. After a lost answer the process reads
  * the row and recognises its own write by the nonce. If the row is unchanged, it sends the same transaction again; its
  * conditions let only one copy take effect.
+ *
+ * Without a row the lease is free, except in a later era of the tables: a holder of the era before may not know yet
+ * that its row is gone. Its last renewal is from before the row was first seen missing, so the same wait applies.
  */
 public class LeaseMachine(
     private val scope: LeaseScope,
@@ -24,6 +27,14 @@
     public fun start(nowMs: Long): LeaseState =
         LeaseState.Watching(Condition.ABSENT, null, 0, nowMs + jitter.spread(settings.retryMs, 0))
 
+    /** Returns the state at [nowMs] in the first rows of a new era, in which nothing is held, after [earlier]. */
+    public fun restart(earlier: LeaseState, nowMs: Long): LeaseState =
+        if (earlier is LeaseState.Released || earlier is LeaseState.Writing && earlier.isReleasing()) {
+            LeaseState.Released(earlier.writes)
+        } else {
+            LeaseState.Watching(Condition.ABSENT, null, earlier.writes, nowMs + jitter.spread(settings.retryMs, 0))
+        }
+
     /** Returns the next state and action after [event] at [nowMs]. */
     public fun next(state: LeaseState, event: LeaseEvent, nowMs: Long): LeaseStep =
         when (state) {
@@ -63,7 +74,8 @@
 
     private fun isFree(state: LeaseState.Watching, lease: Row?, nowMs: Long): Boolean {
         val current = lease?.let { RowJson.decode<LeaseRow>(it.value) }
-        return current == null || current.released || nowMs - sinceMs(state, lease, nowMs) >= settings.takeOverAfterMs
+        val isUnclaimed = current?.released ?: (scope.tableEra == 0L)
+        return isUnclaimed || nowMs - sinceMs(state, lease, nowMs) >= settings.takeOverAfterMs
     }
 
     private fun sinceMs(state: LeaseState.Watching, lease: Row?, nowMs: Long): Long =
@@ -79,7 +91,7 @@
     }
 
     private fun acquire(state: LeaseState.Watching, read: LeaseEvent.RowsRead, nowMs: Long): LeaseStep {
-        val lastEpoch = read.epoch?.let { RowJson.decode<EpochRow>(it.value).epoch } ?: 0
+        val lastEpoch = read.epoch?.let { RowJson.decode<EpochRow>(it.value).epoch } ?: scope.epochBefore
         val write =
             LeaseWrite(
                 kind = LeaseWriteKind.TAKE,
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseManager.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseManager.kt
@@ -10,17 +10,25 @@
  * Runs a [LeaseMachine] on the table service. Steps and the release run one at a time under a lock. [authority] may be
  * called from any thread without waiting for them.
  *
+ * Authority ends as soon as the era of the tables rises; the lease is then acquired anew in the rows of that era.
+ *
+ * @param era the era of the tables, see [LeaseScope.tableEra].
  * @param mayAcquire false if the process already holds or acquires as many leases as it may.
  */
 public class LeaseManager(
-    private val scope: LeaseScope,
-    holder: String,
+    scope: LeaseScope,
+    private val holder: String,
     private val settings: LeaseSettings,
     private val tables: TableService,
     private val time: TimeSource,
+    private val era: () -> Long = { 0 },
     private val mayAcquire: () -> Boolean = { true },
 ) {
-    private val machine = LeaseMachine(scope, holder, settings)
+    @Volatile
+    private var scope = scope.copy(tableEra = era())
+
+    @Volatile
+    private var machine = LeaseMachine(this.scope, holder, settings)
     private val lock = Any()
     private var action: LeaseAction? = null
 
@@ -30,7 +38,7 @@
         private set
 
     /** Returns the authority of the process, which may have expired, or null if it is not the holder. */
-    public fun authority(): Authority? = machine.authority(state)
+    public fun authority(): Authority? = machine.authority(state)?.takeIf { it.scope.tableEra == era() }
 
     /** True if the process holds the lease, or a write of the lease row is under way. */
     public fun holdsOrAcquires(): Boolean = state is LeaseState.Holding || state is LeaseState.Writing
@@ -43,10 +51,22 @@
     /** Performs the requested call, or a tick if there is none. Returns true if another call is due. */
     public fun step(): Boolean =
         synchronized(lock) {
+            followEra()
             val event = action?.let { perform(it) } ?: LeaseEvent.Tick
-            advance(event)
+            if (followEra()) false else advance(event)
         }
 
+    /** Begins again in the rows of a new era, if there is one; what was read or written before it counts no more. */
+    private fun followEra(): Boolean {
+        val now = era()
+        if (now == scope.tableEra) return false
+        scope = scope.copy(tableEra = now)
+        machine = LeaseMachine(scope, holder, settings)
+        state = machine.restart(state, time.monotonicMs())
+        action = null
+        return true
+    }
+
     /** Releases the lease. The outbound calls of the holder must have ended. */
     public fun release() {
         synchronized(lock) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -25,6 +25,7 @@
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.call.ServingLoop
 import org.medlarhook.serving.process.ServingBounds
+import org.medlarhook.serving.process.StoreEra
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.locks.ReentrantLock
 import kotlin.concurrent.thread
@@ -48,9 +49,10 @@
     private val reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
+    private val era: StoreEra,
 ) {
     private val scope = LeaseScope("usage")
-    private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time)
+    private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time, { era.current ?: 0 })
     private val deliveredWindows = HashSet<Long>()
     private val countsByWindow = HashMap<Long, WindowCounts>()
     private val lookBackWindows = maxOf(MIN_LOOK_BACK_WINDOWS, bounds.usageLateMs / bounds.usageWindowMs)
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -61,6 +61,7 @@
             ports.reporting,
             settings.bounds,
             time,
+            ports.era,
         )
     private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
     private val stopped = CountDownLatch(1)
