--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -59,6 +59,7 @@
     UPSTREAM_LEAVES(611, "Upstream says that it leaves; it gets no more work"),
     UPSTREAM_CLOSES(612, "Upstream asks for no requests for some time; it gets none until then"),
     RETRY_AFTER_MALFORMED(613, "Upstream sent a malformed Retry-After; it is not closed"),
+    STORE_ERA_ROSE(614, "The platform's store came back from an older copy; its tables are read whole again"),
     PEERS_UNREACHABLE(616, "Other processes can't be reached; streams that they began are not taken up"),
     PEER_MESSAGE_UNREADABLE(617, "Message of another process could not be read; it is ignored"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -33,6 +33,7 @@
 public class ServingPorts(
     public val format: CallFormat,
     public val store: ControlStore,
+    public val era: StoreEra,
     public val tables: TableService,
     public val clock: StoreClock,
     public val reporting: WindowReporting,
@@ -53,7 +54,7 @@
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
     private val peers = settings.peer?.let { DatagramPeers(serving.loop, it, serving.origins, time) }
-    private val feeds = Feeds(ports.store, serving, time)
+    private val feeds = Feeds(ports.store, ports.era, serving, time)
     private val usageReporter =
         UsageReporter(
             settings.process,
@@ -64,6 +65,7 @@
             settings.bounds,
             time,
             ReportedPeer({ peers?.boundAddress }) { addresses -> peers?.update(addresses) },
+            ports.era,
         )
     private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
     private val stopped = CountDownLatch(1)
