Log the limits of requests that upstreams name in their answers

Server-Limit is decoded now; events 618 to 620 and a counter tell when an upstream names a limit, changes it, names none any more, or names a malformed one. A limit counts as ended only if a request that was sent after it had been named is answered without it, since answers overtake each other on different connections.

Nothing is decided by it yet.

--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -62,4 +62,7 @@
     STORE_ERA_ROSE(614, "The platform's store came back from an older copy; its tables are read whole again"),
     PEERS_UNREACHABLE(616, "Other processes can't be reached; streams that they began are not taken up"),
     PEER_MESSAGE_UNREADABLE(617, "Message of another process could not be read; it is ignored"),
+    UPSTREAM_LIMITS(618, "Upstream limits the requests of all processes together"),
+    UPSTREAM_LIMIT_ENDED(619, "Upstream does not limit its requests any more"),
+    UPSTREAM_LIMIT_MALFORMED(620, "Upstream named a malformed limit; it is ignored"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -104,10 +104,34 @@
         )
     }
 
+    /** Logs and counts that [upstream] takes [perS] requests a second from all processes, or no longer limits them. */
+    fun upstreamLimits(upstream: Upstream, perS: Double?) {
+        announcements(if (perS == null) "limit_ended" else "limited").increment()
+        if (isQuiet) return
+        logger.event(
+            if (perS == null) LogEvent.UPSTREAM_LIMIT_ENDED else LogEvent.UPSTREAM_LIMITS,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "limitPerS" to perS,
+        )
+    }
+
+    /** Logs and counts that [upstream] has named the malformed limit [value]. */
+    fun limitMalformed(upstream: Upstream, value: String) {
+        announcements("malformed_limit").increment()
+        if (isQuiet) return
+        logger.warnEvent(
+            LogEvent.UPSTREAM_LIMIT_MALFORMED,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "limit" to value.take(MAX_LOGGED_CHARS),
+        )
+    }
+
     private fun announcements(kind: String): Counter =
         Counter
             .builder("medlarhook.upstreams.announcements")
-            .description("Answers in which an upstream said that it wants no more work")
+            .description("Answers in which an upstream said how much work it wants")
             .tag("kind", kind)
             .register(registry)
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -14,6 +14,7 @@
  * @property isStamped true if the answer carries the upstream's stamp.
  * @property retryAfter how long the upstream wants no requests from this process, if a rejection says so.
  * @property isLeaving true if the upstream says that it leaves and wants no new work.
+ * @property limit the limit of its requests that the upstream names, or null if it names none.
  */
 public data class UpstreamHead(
     val status: Int,
@@ -28,6 +29,7 @@
     val isStamped: Boolean,
     val retryAfter: ReportedRetryAfter?,
     val isLeaving: Boolean,
+    val limit: ReportedLimit?,
 ) {
     /** True for a success without the upstream's stamp: it comes from a faulty upstream and is not a valid answer. */
     val isUnstampedSuccess: Boolean get() = status < FIRST_REDIRECT && !isStamped
@@ -60,3 +62,15 @@
     val text: String,
     val seconds: Double?,
 )
+
+/**
+ * The limit that an upstream names in an answer.
+ *
+ * @property text the value as received.
+ * @property perS the requests a second that it takes from all processes together, or null if it is malformed. It is not
+ * bounded.
+ */
+public data class ReportedLimit(
+    val text: String,
+    val perS: Double?,
+)
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
@@ -4,7 +4,9 @@
 import org.medlarhook.core.serving.fleet.LeavingUpstreams
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamClosings
+import org.medlarhook.core.serving.limit.UpstreamLimits
 import org.medlarhook.ports.TimeSource
+import org.medlarhook.serving.call.ReportedLimit
 import org.medlarhook.serving.call.ReportedRetryAfter
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.UpstreamHead
@@ -22,13 +24,19 @@
 ) {
     private var leaving = LeavingUpstreams()
     private var closings = UpstreamClosings()
+    private var limits = UpstreamLimits()
     private val sentMalformed = HashSet<Incarnation>()
+    private val namedMalformed = HashSet<Incarnation>()
 
     /** Called with each upstream that has just announced that it leaves. */
     var onLeaving: (Upstream) -> Unit = {}
 
-    /** Records what [head], an answer of [upstream], says about new work. */
-    fun answered(upstream: Upstream, head: UpstreamHead) {
+    /**
+     * Records what [head], an answer of [upstream], says about new work.
+     *
+     * @param sentAtMs when the request that it answers was sent, or null if that is not known.
+     */
+    fun answered(upstream: Upstream, head: UpstreamHead, sentAtMs: Long?) {
         if (head.isMisdirected) return
         if (head.isLeaving && !isLeaving(upstream.incarnation)) {
             leaving = leaving.announced(upstream.incarnation, time.monotonicMs())
@@ -36,6 +44,32 @@
             onLeaving(upstream)
         }
         head.retryAfter?.let { rejected(upstream, it) }
+        val limit = head.limit
+        if (limit != null) {
+            limitNamed(upstream, limit)
+        } else if (head.isStamped) {
+            noLimitNamed(upstream, sentAtMs)
+        }
+    }
+
+    private fun limitNamed(upstream: Upstream, limit: ReportedLimit) {
+        val perS = limit.perS
+        if (perS == null) {
+            if (namedMalformed.add(upstream.incarnation)) log.limitMalformed(upstream, limit.text)
+        } else {
+            limitSaid(upstream, perS, time.monotonicMs())
+        }
+    }
+
+    /** A limit has ended if a request that was sent after it had been named is answered without it. */
+    private fun noLimitNamed(upstream: Upstream, sentAtMs: Long?) {
+        if (sentAtMs != null && limits.perS(upstream.incarnation) != null) limitSaid(upstream, null, sentAtMs)
+    }
+
+    private fun limitSaid(upstream: Upstream, perS: Double?, asOfMs: Long) {
+        val beforePerS = limits.perS(upstream.incarnation)
+        limits = limits.said(upstream.incarnation, perS, asOfMs)
+        if (limits.perS(upstream.incarnation) != beforePerS) log.upstreamLimits(upstream, perS)
     }
 
     private fun rejected(upstream: Upstream, retryAfter: ReportedRetryAfter) {
@@ -69,6 +103,8 @@
         val nowMs = time.monotonicMs()
         leaving = leaving.prune(registered, nowMs)
         closings = closings.prune(nowMs)
+        limits = limits.prune(registered)
         sentMalformed.retainAll(registered)
+        namedMalformed.retainAll(registered)
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.UpstreamHead
 
@@ -20,17 +21,20 @@
  * An answer with the id of another attempt is a late answer to an earlier attempt: it is discarded, and the attempt
  * keeps waiting for its own. A head that arrives while no attempt waits closes the connection.
  *
- * @param onHead called with each head, including those of late answers, before the attempt that it belongs to.
+ * @param onHead called with each head, including those of late answers, before the attempt that it belongs to; and with
+ * the time when the request that it answers was sent, or null if that is an earlier one or none.
  */
 internal class UpstreamConnection(
     private val format: CallFormat,
+    private val time: TimeSource,
     private val onIdle: (UpstreamConnection) -> Unit,
     private val onClosed: (UpstreamConnection) -> Unit,
-    private val onHead: (UpstreamHead) -> Unit,
+    private val onHead: (UpstreamHead, Long?) -> Unit,
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var listener: AttemptListener? = null
     private var attemptId: String? = null
+    private var sentAtMs = 0L
     private var isSkipping = false
     private var closesAfterAnswer = false
     private var isBroken = false
@@ -53,6 +57,7 @@
     fun send(id: String?, request: FullHttpRequest, attempt: AttemptListener) {
         listener = attempt
         attemptId = id
+        sentAtMs = time.monotonicMs()
         isSkipping = false
         attempt.onSent()
         context.writeAndFlush(request)
@@ -86,13 +91,14 @@
 
     private fun onResponse(response: HttpResponse) {
         val head = format.readHead(response)
-        onHead(head)
+        val isLate = head.attemptId != null && head.attemptId != attemptId
+        onHead(head, sentAtMs.takeIf { listener != null && !isLate })
         val current = listener ?: return close()
         if (head.status < FIRST_FINAL_STATUS) {
             isSkipping = true
             return
         }
-        isSkipping = head.attemptId != null && head.attemptId != attemptId
+        isSkipping = isLate
         if (isSkipping) return
         framing = framingOf(response)
         readKeepAlive(head, response)
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -96,9 +96,10 @@
         val connection =
             UpstreamConnection(
                 format,
+                time,
                 onIdle = { release(upstream.incarnation, it) },
                 onClosed = { closed(upstream.incarnation, it) },
-                onHead = { availability.answered(upstream, it) },
+                onHead = { head, sentAtMs -> availability.answered(upstream, head, sentAtMs) },
             )
         val connecting = bootstrap(upstream.address, connection)
         open++
