Send upstreams that limit their requests this process's share of the limit

A limit over all processes can't be kept by what one process sees, and one process alone had sent more than the whole limit (104 in 4 s), so that neither reading it nor dividing it by a count is enough: with 30 processes and 1.4 a second, one request saved up by each is already more than what is allowed.

Fix: the turns at an upstream follow each other at its limit on the clock that all processes share, and go to the processes in turn, by the list of those that published the last usage window. A turn is lost after a second. A process has turns once the others have read a list that contains it, uses a quarter of them while its own list is old, and keeps the list from before a drill of the store for two windows. Turns are claimed when a request is placed, for the prefill and the decode, and again when it is sent: after a connection was opened, for a retry, for the release of a cache. If all upstreams are limited, a request waits for a turn of its own if that is in its time, and is refused at once if not. A limit and its end are told to the other processes by datagrams, so that those with few turns hear of the end.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -35,6 +35,7 @@
     private var hasRunStarted = false
     private var placed: Placement.Chosen? = null
     private var placedAtMs = 0L
+    private var permits = serving.newPermits()
     private var isDone = false
     private val record = serving.nowMs().let { nowMs ->
         ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
@@ -97,9 +98,9 @@
         handle?.setReading(isWritable)
     }
 
-    private fun place() {
+    private fun place(hasWaited: Boolean = false) {
         val nowMs = serving.nowMs()
-        when (val placement = serving.place(demand, tried, nowMs)) {
+        when (val placement = serving.place(demand, tried, hasWaited, nowMs)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
             is Placement.NoCapacity -> refuseIfNotRun(
                 ResultCode.DEADLINE_UNREACHABLE,
@@ -115,18 +116,16 @@
 
     /** Places the request again once an upstream opens, or refuses it at once if that is too late. */
     private fun awaitReopening(placement: Placement.AllClosed, nowMs: Long) {
-        val waitMs = serving.reopeningWaitMs(demand, placement, nowMs)
-        if (waitMs == null) {
-            refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.retryAfterMs(demand, placement, nowMs))
-        } else {
-            handle = null
-            serving.schedule(nowMs + waitMs) { if (!isDone) place() }
-        }
+        handle = null
+        val isAwaited = serving.awaitReopening(demand, placement, nowMs) { if (!isDone) place(hasWaited = true) }
+        if (!isAwaited) refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.retryAfterMs(demand, placement, nowMs))
     }
 
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
         placed = chosen
         placedAtMs = nowMs
+        permits = serving.newPermits()
+        listOfNotNull(chosen.prefill, chosen.upstream).forEach { permits.claim(it) }
         if (chosen.prefill == null) send(chosen, AttemptStep.Whole, nowMs) else prefill(chosen, chosen.prefill!!, nowMs)
     }
 
@@ -136,13 +135,13 @@
         record.prefillSent(chosen, nowMs)
         val request = serving.format.upstreamRequest(call, prefillUpstream, options(chosen, AttemptStep.Prefill, nowMs))
         val attempt = PrefillAttempt(this, serving, demand, chosen, nowMs)
-        handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, attempt)
+        handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, permits, attempt)
     }
 
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
     fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
         if (isDone) return serving.releaseCache(chosen.prefill!!, cacheHandle)
-        if (!serving.accepts(chosen.upstream)) {
+        if (!permits.claim(chosen.upstream)) {
             serving.releaseCache(chosen.prefill!!, cacheHandle)
             return prefillFailed("decode_not_accepted")
         }
@@ -177,7 +176,7 @@
         relay = next
         val tracker = AttemptTracker(serving, demand, chosen, nowMs, chosen.upstream) { runStarted() }
         val attempt = Attempt(this, next, tracker)
-        handle = serving.pool.send(chosen.upstream, call.attemptId, request, demand.route.mayRunAgain, attempt)
+        handle = serving.pool.send(chosen.upstream, call.attemptId, request, demand.route.mayRunAgain, permits, attempt)
         attempt.handle = handle
     }
 
@@ -262,7 +261,7 @@
             attemptsSent < MAX_ATTEMPTS_SENT &&
             demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
             serving.endsBeforeShutdown(demand, nowMs) &&
-            serving.hasUntriedUpstream(demand, tried) &&
+            serving.hasUntriedUpstream(demand, tried, nowMs) &&
             serving.withdrawRetry(demand.service, nowMs)
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -5,6 +5,7 @@
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import org.medlarhook.core.serving.fleet.Upstream
+import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
@@ -104,8 +105,11 @@
         )
     }
 
-    /** Logs and counts that [upstream] takes [perS] requests a second from all processes, or no longer limits them. */
-    fun upstreamLimits(upstream: Upstream, perS: Double?) {
+    /**
+     * Logs and counts that [upstream] takes [perS] requests a second from all processes, or no longer limits them, as
+     * this process knows from [source]. It sends its [share] of them.
+     */
+    fun upstreamLimits(upstream: Upstream, perS: Double?, share: ProcessShare?, source: String) {
         announcements(if (perS == null) "limit_ended" else "limited").increment()
         if (isQuiet) return
         logger.event(
@@ -113,6 +117,10 @@
             "upstream" to upstream.id,
             "startedAtMs" to upstream.startedAtMs,
             "limitPerS" to perS,
+            "source" to source,
+            "rank" to share?.rank,
+            "processes" to share?.processes,
+            "shareFreshUntilMs" to share?.freshUntilMs,
         )
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -11,6 +11,7 @@
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamRegistry
+import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.core.serving.load.ServiceEstimates
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.Demand
@@ -25,7 +26,10 @@
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
+import org.medlarhook.serving.peer.LimitPeers
+import org.medlarhook.serving.peer.LimitReport
 import org.medlarhook.serving.process.ServingBounds
+import org.medlarhook.serving.upstream.RequestPermits
 import org.medlarhook.serving.upstream.UpstreamAvailability
 import org.medlarhook.serving.upstream.UpstreamPool
 import java.util.concurrent.Future
@@ -57,8 +61,11 @@
     private var processCount = 1
     private var inFlight = 0
 
+    private val waitingRequests = WaitingRequests()
+
     init {
         availability.onLeaving = { pool.closeIdle(it.incarnation) }
+        availability.sharedClockOffsetMs = { usage.offsetMs }
     }
 
     var config: ServingConfig? = null
@@ -203,21 +210,63 @@
         return Admission.Refused(ResultCode.DRAINING, retryAfterMs)
     }
 
-    /** Chooses the upstream of [demand] among those that may serve it and are not in [tried]. */
-    fun place(demand: Demand, tried: Set<String>, nowMs: Long): Placement {
+    /**
+     * Chooses the upstream of [demand] among those that may serve it and are not in [tried]. Where upstreams limit their
+     * requests, one that has not waited yet comes after those that wait.
+     */
+    fun place(demand: Demand, tried: Set<String>, hasWaited: Boolean, nowMs: Long): Placement {
         val candidates = candidates(demand)
-        val open = candidates.filterNot { availability.isClosed(it.incarnation, nowMs) }
+        val ahead = if (hasWaited) 0 else waitingRequests.of(demand.service)
+        val open = candidates.filter { availability.opensInMs(listOf(it), ahead, nowMs) == null }
         val placement = placer.place(demand, open, loads, tried, estimatesOf(demand.service), nowMs)
         if (placement !is Placement.NoUpstream) return placement
-        return opensInMs(candidates, tried, nowMs)?.let { Placement.AllClosed(it) } ?: placement
+        return opensInMs(demand, candidates, tried, nowMs)?.let { Placement.AllClosed(it) } ?: placement
     }
 
-    private fun opensInMs(candidates: List<Upstream>, tried: Set<String>, nowMs: Long): Long? =
-        availability.opensInMs(candidates.filter { it.id !in tried && it.stage != EngineStage.PREFILL }, nowMs)
+    /** The time until one of [candidates] opens for a request behind all that wait for it. */
+    private fun opensInMs(demand: Demand, candidates: List<Upstream>, tried: Set<String>, nowMs: Long): Long? {
+        val untried = candidates.filter { it.id !in tried && it.stage != EngineStage.PREFILL }
+        return availability.opensInMs(untried, waitingRequests.of(demand.service), nowMs)
+    }
+
+    /**
+     * Calls [onOpen] when an upstream of [demand] is expected to open for it. Returns false, and does not call it, if
+     * that takes longer than its time.
+     */
+    fun awaitReopening(demand: Demand, placement: Placement.AllClosed, nowMs: Long, onOpen: () -> Unit): Boolean {
+        val remainingMs = demand.deadlineAtMs - nowMs
+        val waitMs = ReopeningWait.waitMs(placement.opensInMs, remainingMs, random.nextDouble()) ?: return false
+        waitingRequests.began(demand.service)
+        schedule(nowMs + waitMs) {
+            waitingRequests.ended(demand.service)
+            onOpen()
+        }
+        return true
+    }
 
-    /** How long [demand] waits for the first closed upstream to open, or null if that takes longer than its time. */
-    fun reopeningWaitMs(demand: Demand, placement: Placement.AllClosed, nowMs: Long): Long? =
-        ReopeningWait.waitMs(placement.opensInMs, demand.deadlineAtMs - nowMs, random.nextDouble())
+    /** The turns that an attempt claims at upstreams that limit their requests. */
+    fun newPermits(): RequestPermits = RequestPermits(availability)
+
+    /** Sets this process's share of the limits of upstreams, or null while it has none. */
+    fun setShare(share: ProcessShare?) {
+        availability.share = share
+    }
+
+    /** Tells all other processes, through [peers], of limits that upstreams name. */
+    fun setLimitPeers(peers: LimitPeers) {
+        availability.peers = peers
+    }
+
+    /** Records the limit of an upstream that another process has told of. */
+    fun limitReported(report: LimitReport) {
+        val incarnation = Incarnation(report.upstreamId, report.startedAtMs)
+        registry.find(report.upstreamId)?.takeIf {
+            it.incarnation == incarnation
+        }?.let { availability.reported(it, report) }
+    }
+
+    /** The limit of [incarnation] in requests a second over all processes, or null if it has none. */
+    fun limitPerS(incarnation: Incarnation): Double? = availability.limitPerS(incarnation)
 
     /** The engines of the prefill stage only prepare a prompt, so that their version does not matter. */
     private fun candidates(demand: Demand): List<Upstream> =
@@ -225,9 +274,6 @@
             .filter { it.stage == EngineStage.PREFILL || demand.origin.permits(it) }
             .filterNot { availability.isLeaving(it.incarnation) }
 
-    /** True if [upstream] may still be sent a request that was placed there earlier. */
-    fun accepts(upstream: Upstream): Boolean = availability.accepts(upstream)
-
     /** Records that a first event predicted in [predictedMs] came, or was no longer awaited, after [observedMs]. */
     fun firstEventObserved(service: String, predictedMs: Double, observedMs: Double) {
         updateEstimates(service) { it.copy(error = it.error.observed(predictedMs, observedMs)) }
@@ -247,12 +293,11 @@
     }
 
     /** True if an upstream that may serve [demand], and opens in its time, is not in [tried]. */
-    fun hasUntriedUpstream(demand: Demand, tried: Set<String>): Boolean =
-        candidates(demand).any {
-            it.id !in tried &&
-                it.stage != EngineStage.PREFILL &&
-                !availability.isClosed(it.incarnation, demand.deadlineAtMs)
-        }
+    fun hasUntriedUpstream(demand: Demand, tried: Set<String>, nowMs: Long): Boolean {
+        val untried = candidates(demand).filter { it.id !in tried && it.stage != EngineStage.PREFILL }
+        val opensInMs = availability.opensInMs(untried, waitingRequests.of(demand.service), nowMs) ?: 0
+        return untried.isNotEmpty() && nowMs + opensInMs < demand.deadlineAtMs
+    }
 
     /** Takes one retry from the budget of [service], or returns false if none is left. */
     fun withdrawRetry(service: String, nowMs: Long): Boolean {
@@ -276,7 +321,7 @@
     /** The Retry-After time of a request that the upstreams themselves refused or that did not reach one. */
     fun busyRetryAfterMs(demand: Demand): Long {
         val nowMs = nowMs()
-        val opensInMs = opensInMs(candidates(demand), emptySet(), nowMs) ?: 0
+        val opensInMs = opensInMs(demand, candidates(demand), emptySet(), nowMs) ?: 0
         return retryAfterMs(demand, Placement.NoCapacity(maxOf(FULL_QUEUE_DRAIN_MS, opensInMs.toDouble())), nowMs)
     }
 
@@ -289,14 +334,16 @@
     fun prefillUpstreamIds(demand: Demand): List<String> =
         registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL }.map { it.id }
 
-    /** Frees the cache that [upstream] keeps under [cacheHandle], or leaves it to expire if that wants no requests. */
+    /** Frees the cache that [upstream] keeps under [cacheHandle], or leaves it to expire if that takes no request now. */
     fun releaseCache(upstream: Upstream, cacheHandle: String) {
-        if (!accepts(upstream)) return
+        val permits = newPermits()
+        if (!permits.claim(upstream)) return
         pool.send(
             upstream,
             null,
             format.cacheReleaseRequest(upstream, cacheHandle),
             mayRunAgain = true,
+            permits,
             NoOpAttemptListener,
         )
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -9,6 +9,7 @@
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
 import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.core.serving.usage.ProcessCount
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.core.serving.usage.WindowCounts
@@ -66,6 +67,9 @@
     private var nextReportAtMs = 0L
     private var processes = emptySet<String>()
     private var processesReadInWindow: Long? = null
+    private var nextProcessesReadAtMs = 0L
+    private var firstPublishedWindow: Long? = null
+    private var processesEra: Long? = null
 
     @Volatile
     private var isStopped = false
@@ -119,7 +123,7 @@
         updateHolding()
         val current = usage.windowAt(usage.sharedClockMs(nowMs)!!)
         val first = firstWindow ?: (current - lookBackWindows).also { firstWindow = it }
-        readProcesses(current)
+        readProcesses(current, usage, nowMs)
         if (isHolding && nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + REPORT_EVERY_MS
             (maxOf(first, current - lookBackWindows)..current - 1).forEach { report(it, usage, nowMs) }
@@ -156,6 +160,7 @@
         val rows = writes.map { (window, row) -> Write(rowKey(window), RowJson.encode(row)) }
         tables.transact(Transaction(emptyList(), rows)).onRight {
             published += writes
+            if (firstPublishedWindow == null) firstPublishedWindow = current
             dropOldWindows(current)
         }
     }
@@ -168,16 +173,33 @@
         onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
     }
 
-    private fun readProcesses(current: Long) {
-        if (current == processesReadInWindow) return
-        processesReadInWindow = current
+    /** Reads the processes that have published the window before [current]; all of them read it at about this time. */
+    private fun readProcesses(current: Long, usage: UsageWindows, nowMs: Long) {
+        if (current == processesReadInWindow || nowMs < nextProcessesReadAtMs) return
+        val previousEra = processesEra
+        processesEra = era.current
+        if (previousEra != null && previousEra != processesEra) {
+            nextProcessesReadAtMs = nowMs + bounds.usageWindowMs * WINDOWS_AFTER_DRILL
+            return
+        }
+        nextProcessesReadAtMs = nowMs + PUBLISH_EVERY_MS
         countsOf(current - 1).onRight { counts ->
+            processesReadInWindow = current
+            nextProcessesReadAtMs = nowMs
             processes = counts.continuing
             if (processes.isNotEmpty()) onLoop { serving.setProcessCount(processes.size) }
             onLoop { peer.onProcessesRead(counts.peers) }
+            onLoop { serving.setShare(shareIn(current, usage, nowMs)) }
         }
     }
 
+    /** The share of a process that the others know: one that published its first window before [current]. */
+    private fun shareIn(current: Long, usage: UsageWindows, readAtMs: Long): ProcessShare? {
+        val isKnown = firstPublishedWindow?.let { it < current } == true
+        val offsetMs = usage.offsetMs?.takeIf { isKnown } ?: return null
+        return ProcessShare.of(process, processes, offsetMs, readAtMs, bounds.usageWindowMs)
+    }
+
     /**
      * Runs the lease in each step if this process holds it or is a candidate. Other processes run it once per
      * [ServingBounds.leaseMs], so that they take over if all candidates are lost.
@@ -294,6 +316,9 @@
         /** Preceding windows whose processes are awaited, so that one cut off from the store for two is noticed. */
         const val AWAITED_WINDOWS = 2L
 
+        /** After a drill, the rows of this many windows may be those of a part of the processes. */
+        const val WINDOWS_AFTER_DRILL = 2L
+
         /** Windows that are kept in addition to those that may still be due. */
         const val KEPT_WINDOWS = 5L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -26,15 +26,18 @@
 /**
  * Exchanges [PeerMessage]s with the other processes as datagrams. Used on [loop] only.
  *
- * A datagram may be lost: each stream is told to [HOLDERS] processes, and a question that stays unanswered ends after
- * [ANSWER_TIMEOUT_MS].
+ * A datagram may be lost: each stream is told to [HOLDERS] processes, a question that stays unanswered ends after
+ * [ANSWER_TIMEOUT_MS], and a process that misses a limit learns it from the upstream's next answer.
+ *
+ * @param onLimit called with each limit that another process has told of.
  */
 internal class DatagramPeers(
     private val loop: EventLoop,
     private val address: Endpoint,
     private val listener: PeerListener,
     private val time: TimeSource,
-) : StreamPeers {
+    private val onLimit: (LimitReport) -> Unit,
+) : StreamPeers, LimitPeers {
     @Volatile
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
@@ -81,6 +84,8 @@
         if (untold.size == 1) loop.schedule({ tellAll() }, TELL_DELAY_MS, TimeUnit.MILLISECONDS)
     }
 
+    override fun tell(report: LimitReport) = peers.forEach { send(PeerMessage.LimitChanged(report), it) }
+
     private fun tellAll() {
         val byHolder =
             untold.flatMap { stream ->
@@ -123,6 +128,7 @@
             is PeerMessage.OriginQuestion ->
                 send(PeerMessage.OriginAnswer(message.number, listener.originOf(message.stream)), sender)
             is PeerMessage.OriginAnswer -> answered(message)
+            is PeerMessage.LimitChanged -> onLimit(message.report)
         }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
@@ -4,7 +4,7 @@
 import kotlinx.serialization.Serializable
 import org.medlarhook.core.serving.resume.BegunStream
 
-/** What serving processes tell each other about streams, one JSON document a datagram. */
+/** What serving processes tell each other about streams and limits, one JSON document a datagram. */
 @Serializable
 internal sealed interface PeerMessage {
     /** Streams that have begun at the sender, or of which it was told. */
@@ -29,6 +29,13 @@
         val number: Long,
         val answer: OriginReport?,
     ) : PeerMessage
+
+    /** An upstream has named or changed a limit of its requests, or has none any more. */
+    @Serializable
+    @SerialName("limit")
+    data class LimitChanged(
+        val report: LimitReport,
+    ) : PeerMessage
 }
 
 /**
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -53,7 +53,9 @@
         ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
-    private val peers = settings.peer?.let { DatagramPeers(serving.loop, it, serving.origins, time) }
+    private val peers = settings.peer?.let {
+        DatagramPeers(serving.loop, it, serving.origins, time, serving::limitReported)
+    }
     private val feeds = Feeds(ports.store, ports.era, serving, time)
     private val usageReporter =
         UsageReporter(
@@ -88,7 +90,10 @@
         feeds.start()
         peers?.let {
             it.open()
-            serving.loop.execute { serving.origins.peers = it }
+            serving.loop.execute {
+                serving.origins.peers = it
+                serving.setLimitPeers(it)
+            }
         }
         status.start()
         awaitInitialState()
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -38,26 +38,36 @@
      * Sends [request] to [upstream], on an idle connection if one is reusable, else on a new one.
      *
      * If [mayRunAgain] is false, only a connection that was in use within [RECENT_USE_MS] is reused: a request that may
-     * run at most once can't be retried if the upstream has closed the connection in the meantime.
+     * run at most once can't be retried if the upstream has closed the connection in the meantime. If
+     * [permits] don't allow the request when it would be sent, the attempt fails.
      */
     fun send(
         upstream: Upstream,
         attemptId: String?,
         request: FullHttpRequest,
         mayRunAgain: Boolean,
+        permits: RequestPermits,
         listener: AttemptListener,
     ): AttemptHandle {
         val handle = AttemptHandle(listener)
         val idleConnection = takeIdle(upstream.incarnation, mayRunAgain)
-        if (idleConnection != null) {
+        if (idleConnection == null) {
+            connect(upstream, attemptId, request, permits, handle)
+        } else if (permits.claim(upstream)) {
             handle.connection = idleConnection
             idleConnection.send(attemptId, request, listener)
         } else {
-            connect(upstream, attemptId, request, handle)
+            release(upstream.incarnation, idleConnection)
+            loop.execute { refuse(request, handle) }
         }
         return handle
     }
 
+    private fun refuse(request: FullHttpRequest, handle: AttemptHandle) {
+        request.release()
+        if (!handle.isAbandoned) handle.listener.onFailure(AttemptFailure.WORK_NOT_ACCEPTED, wasSent = false)
+    }
+
     /** Closes connections that have been idle too long, and all idle ones to upstreams not [known] or that leave. */
     fun prune(known: Set<Incarnation>) {
         val nowMs = time.monotonicMs()
@@ -92,7 +102,13 @@
     private fun isReusable(connection: UpstreamConnection, nowMs: Long): Boolean =
         connection.isOpen && nowMs - connection.idleSinceMs < connection.idleTimeoutMs * IDLE_TIMEOUT_SHARE
 
-    private fun connect(upstream: Upstream, attemptId: String?, request: FullHttpRequest, handle: AttemptHandle) {
+    private fun connect(
+        upstream: Upstream,
+        attemptId: String?,
+        request: FullHttpRequest,
+        permits: RequestPermits,
+        handle: AttemptHandle,
+    ) {
         val connection =
             UpstreamConnection(
                 format,
@@ -115,10 +131,9 @@
                     request.release()
                     release(upstream.incarnation, connection)
                 }
-                !availability.accepts(upstream) -> {
-                    request.release()
+                !permits.claim(upstream) -> {
                     connection.close()
-                    handle.listener.onFailure(AttemptFailure.WORK_NOT_ACCEPTED, wasSent = false)
+                    refuse(request, handle)
                 }
                 else -> {
                     handle.connection = connection
