End answers that have no end

What callers would see: an upstream that sends bytes without end where an answer is due kept a request to its deadline, and the process kept all of it in memory, or read on for good: the rest of a rejection after the request had gone elsewhere, the answer to a call whose caller had left, the answer to the release of a cache.

Cause: plain answers and unfinished events were kept without a limit; interim answers, late answers and the rest of rejections were skipped without one; calls without their caller and cache releases had no deadline.

Change: plain answers take a quarter of the heap, 64 MiB at most, and one answer a quarter of that; an event has 1 MiB at most; an attempt skips 16 heads and 1 MiB at most; the rest of a rejection has a second. Beyond that the connection is closed and the attempt counts as unreadable, so that a request that may run again goes to another upstream at once. A call without its caller ends at its deadline, and is not sent again. The release of a cache has 2 s.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -27,30 +27,43 @@
         tracker.headReceived(head)
         when {
             head.isNotRun || head.isMisdirected -> {
-                isDiscarding = true
+                discardRest()
                 account { tracker.notRun(head) }
                 exchange.attemptNotRun(head.isMisdirected)
             }
-            head.isUnstampedSuccess || head.isEncoded -> {
-                isDiscarding = true
-                account { tracker.failed(wasSent = true) }
-                handle?.abandon()
-                exchange.attemptFailed(AttemptFailure.UNREADABLE_ANSWER, wasSent = true)
-            }
+            head.isUnstampedSuccess || head.isEncoded -> failUnreadable()
             head.status >= FIRST_SERVER_ERROR -> {
                 tracker.runStarted()
-                isDiscarding = exchange.retryOnServerError()
-                if (isDiscarding) account { tracker.ended(isSuccess = false) } else relay.begin(head, response, framing)
+                if (exchange.retryOnServerError()) {
+                    discardRest()
+                    account { tracker.ended(isSuccess = false) }
+                } else {
+                    relay.begin(head, response, framing)
+                }
             }
             else -> relay.begin(head, response, framing)
         }
     }
 
+    private fun discardRest() {
+        isDiscarding = true
+        handle?.discardRest()
+    }
+
+    private fun failUnreadable() {
+        isDiscarding = true
+        account { tracker.failed(wasSent = true) }
+        handle?.abandon()
+        relay.interrupted()
+        exchange.attemptFailed(AttemptFailure.UNREADABLE_ANSWER, wasSent = true)
+    }
+
     override fun onBody(bytes: ByteBuf) {
         if (isDiscarding) return
         if (head?.isStream == true) tracker.firstTokenReceived() else tracker.runStarted()
-        relay.body(bytes)
+        val isKept = relay.body(bytes)
         if (relay.hasBegun) exchange.eventsDelivered()
+        if (!isKept) return failUnreadable()
         handle?.setReading(relay.isCallerWritable)
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -15,6 +15,9 @@
     var lastEventId: Long? = null
         private set
 
+    /** Bytes of an event whose end has not arrived. */
+    val pendingBytes: Int get() = pending.readableBytes()
+
     /** Appends [bytes] and returns all complete events, or null if there is none. */
     fun append(bytes: ByteBuf): ByteBuf? {
         pending.writeBytes(bytes)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -148,6 +148,11 @@
         send(chosen, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), serving.nowMs())
     }
 
+    /** Abandons the attempt that runs, so that its upstream stops. */
+    fun abandonAttempt() {
+        handle?.abandon()
+    }
+
     /** Places the request again without a separate prefill, after the prefill has failed. */
     fun prefillFailed(reason: String) {
         record.failed(reason)
@@ -182,7 +187,7 @@
 
     private fun newRelay(): Relay {
         relay?.release()
-        return Relay(serving.format, caller)
+        return Relay(serving.format, caller, serving.answerBuffers)
     }
 
     /** Records that the request was sent, so that the upstream may run it from now on. */
@@ -216,6 +221,7 @@
         possibleRuns--
         mayHaveRun = possibleRuns > 0
         record.failed("not_run")
+        if (isDone) return
         if (isMisdirected) serving.closeIdleConnections(tried.last())
         retryOr { refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand)) }
     }
@@ -223,6 +229,7 @@
     /** Handles an attempt without a complete answer: retries it if it was not sent or its route allows a second run. */
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
+        if (isDone) return
         when {
             !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
@@ -233,7 +240,7 @@
 
     /** Retries an idempotent request after a server error; returns false if it may not be retried. */
     fun retryOnServerError(): Boolean {
-        if (demand.route.kind != CallKind.IDEMPOTENT || !mayRetry()) return false
+        if (isDone || demand.route.kind != CallKind.IDEMPOTENT || !mayRetry()) return false
         record.failed("upstream_error")
         place()
         return true
@@ -308,12 +315,20 @@
         if (isDone) return
         isDone = true
         deadline?.cancel(false)
-        if (!record.isOrphaned) relay?.release()
+        if (record.isOrphaned) endOrphanAtDeadline() else relay?.release()
         call.body.release()
         serving.finished(record, outcome)
         onDone()
     }
 
+    /** A call that goes on without its caller ends at its deadline, like any other. */
+    private fun endOrphanAtDeadline() {
+        serving.schedule(demand.deadlineAtMs) {
+            handle?.abandon()
+            relay?.release()
+        }
+    }
+
     private companion object {
         /** Limits the upstreams to which one request is sent, including those that did not run it. */
         const val MAX_ATTEMPTS_SENT = 4
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/NoOpAttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/NoOpAttemptListener.kt
@@ -7,7 +7,7 @@
 import org.medlarhook.serving.upstream.BodyFraming
 
 /** Ignores the result of requests that free a resource: if one is lost, the resource expires without it. */
-internal object NoOpAttemptListener : AttemptListener {
+internal class NoOpAttemptListener : AttemptListener {
     override fun onSent() = Unit
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) = Unit
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -29,7 +29,12 @@
     }
 
     override fun onBody(bytes: ByteBuf) {
-        if (body.readableBytes() + bytes.readableBytes() <= MAX_BODY_BYTES) body.writeBytes(bytes)
+        if (body.readableBytes() + bytes.readableBytes() <= MAX_BODY_BYTES) {
+            body.writeBytes(bytes)
+        } else {
+            exchange.abandonAttempt()
+            exchange.prefillFailed(AttemptFailure.UNREADABLE_ANSWER.name.lowercase())
+        }
     }
 
     override fun onEnd() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -1,7 +1,6 @@
 package org.medlarhook.serving.call
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import org.medlarhook.serving.upstream.BodyFraming
@@ -11,17 +10,18 @@
  *
  * A plain answer is buffered until it is complete, so that a truncated one never reaches the caller. A stream is
  * forwarded in complete events. Its head is sent with the first event, so that until then another upstream can still
- * serve the request.
+ * serve the request. An answer that is too large to be kept is taken for one without end.
  */
 internal class Relay(
     private val format: CallFormat,
     private val caller: Caller,
+    private val buffers: AnswerBuffers,
 ) {
     private var status = 0
     private var headers: HttpHeaders? = null
     private var endsWithClose = false
     private var splitter: EventSplitter? = null
-    private var fullBody: ByteBuf? = null
+    private var fullBody: AnswerBuffers.AnswerBuffer? = null
 
     /** True once a part of the answer has been sent to the caller. */
     var hasBegun = false
@@ -44,24 +44,22 @@
         if (head.isStream) {
             splitter = splitter ?: EventSplitter()
         } else {
-            fullBody = Unpooled.buffer()
+            fullBody = buffers.open()
         }
     }
 
-    fun body(bytes: ByteBuf) {
-        val events = splitter
-        if (events == null) {
-            fullBody?.writeBytes(bytes)
-        } else {
-            events.append(bytes)?.let { deliver(it) }
-        }
+    /** Takes a part of the body; returns false if the answer, or an event of the stream, is too large to be kept. */
+    fun body(bytes: ByteBuf): Boolean {
+        val events = splitter ?: return fullBody?.append(bytes) ?: true
+        events.append(bytes)?.let { deliver(it) }
+        return events.pendingBytes <= MAX_EVENT_BYTES
     }
 
     /** Completes the answer to the caller. */
     fun end() {
         val events = splitter
         if (events == null) {
-            caller.answer(status, headers!!, fullBody!!)
+            caller.answer(status, headers!!, fullBody!!.take())
             fullBody = null
             return
         }
@@ -93,4 +91,9 @@
         hasBegun = true
         caller.beginStream(status, headers!!, endsWithClose)
     }
+
+    private companion object {
+        /** Far more than an event of some tokens has. */
+        const val MAX_EVENT_BYTES = 1_048_576
+    }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -63,6 +63,9 @@
 
     private val waitingRequests = WaitingRequests()
 
+    /** The plain answers that are kept until they are whole. */
+    val answerBuffers = AnswerBuffers()
+
     init {
         availability.onLeaving = { pool.closeIdle(it.incarnation) }
         availability.sharedClockOffsetMs = { usage.offsetMs }
@@ -338,14 +341,9 @@
     fun releaseCache(upstream: Upstream, cacheHandle: String) {
         val permits = newPermits()
         if (!permits.claim(upstream)) return
-        pool.send(
-            upstream,
-            null,
-            format.cacheReleaseRequest(upstream, cacheHandle),
-            mayRunAgain = true,
-            permits,
-            NoOpAttemptListener,
-        )
+        val request = format.cacheReleaseRequest(upstream, cacheHandle)
+        val release = pool.send(upstream, null, request, mayRunAgain = true, permits, NoOpAttemptListener())
+        schedule(nowMs() + CACHE_RELEASE_TIMEOUT_MS) { release.abandon() }
     }
 
     /** Counts a request of [demand]'s workspace that has begun to run. */
@@ -406,6 +404,9 @@
         /** For a stale configuration: a new connection may reach a process whose configuration is fresh. */
         const val RETRY_MS = 100L
 
+        /** The answer to a release is not needed; it is awaited so that its connection can be used again. */
+        const val CACHE_RELEASE_TIMEOUT_MS = 2_000L
+
         const val RETRY_WITHOUT_UPSTREAM_MS = 300.0
 
         /** About the time in which the full queue of an upstream has room again. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -14,12 +14,14 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.UpstreamHead
+import java.util.concurrent.TimeUnit
 
 /**
  * One connection to an upstream, used by one attempt at a time.
  *
  * An answer with the id of another attempt is a late answer to an earlier attempt: it is discarded, and the attempt
- * keeps waiting for its own. A head that arrives while no attempt waits closes the connection.
+ * keeps waiting for its own. A head that arrives while no attempt waits closes the connection, as does an upstream that
+ * sends too much that is discarded.
  *
  * @param onHead called with each head, including those of late answers, before the attempt that it belongs to; and with
  * the time when the request that it answers was sent, or null if that is an earlier one or none.
@@ -36,6 +38,11 @@
     private var attemptId: String? = null
     private var sentAtMs = 0L
     private var isSkipping = false
+
+    /** True while the rest of an answer is read after its attempt has ended. */
+    private var isDiscarding = false
+    private var discardedBytes = 0L
+    private var skippedHeads = 0
     private var closesAfterAnswer = false
     private var isBroken = false
     private var framing = BodyFraming.LENGTH
@@ -59,6 +66,8 @@
         attemptId = id
         sentAtMs = time.monotonicMs()
         isSkipping = false
+        discardedBytes = 0
+        skippedHeads = 0
         attempt.onSent()
         context.writeAndFlush(request)
     }
@@ -70,6 +79,14 @@
         context.close()
     }
 
+    /** Ends [attempt], and keeps the connection if the rest of the answer is short and arrives soon. */
+    fun discardRest(attempt: AttemptListener) {
+        if (listener !== attempt) return
+        listener = null
+        isDiscarding = true
+        context.executor().schedule({ if (isDiscarding) context.close() }, MAX_DISCARDING_MS, TimeUnit.MILLISECONDS)
+    }
+
     /** Stops or resumes reading, so that a slow caller causes back-pressure on the upstream. */
     fun setReading(isReading: Boolean) {
         context.channel().config().isAutoRead = isReading
@@ -94,27 +111,38 @@
         val isLate = head.attemptId != null && head.attemptId != attemptId
         onHead(head, sentAtMs.takeIf { listener != null && !isLate })
         val current = listener ?: return close()
-        if (head.status < FIRST_FINAL_STATUS) {
-            isSkipping = true
+        isSkipping = isLate || head.status < FIRST_FINAL_STATUS
+        if (isSkipping) {
+            if (++skippedHeads > MAX_SKIPPED_HEADS) failUnreadable()
             return
         }
-        isSkipping = isLate
-        if (isSkipping) return
         framing = framingOf(response)
         readKeepAlive(head, response)
         current.onHead(head, response, framing)
     }
 
     private fun onContent(content: HttpContent) {
+        if (isSkipping || isDiscarding) return discard(content)
         val current = listener ?: return
-        if (isSkipping) return
         if (content.content().isReadable) current.onBody(content.content())
         if (content is LastHttpContent && listener === current && !isBroken) finish(current)
     }
 
+    private fun discard(content: HttpContent) {
+        discardedBytes += content.content().readableBytes()
+        if (discardedBytes > MAX_DISCARDED_BYTES) return failUnreadable()
+        if (content !is LastHttpContent || !isDiscarding) return
+        isDiscarding = false
+        reuseOrClose()
+    }
+
     private fun finish(current: AttemptListener) {
         listener = null
         current.onEnd()
+        reuseOrClose()
+    }
+
+    private fun reuseOrClose() {
         if (closesAfterAnswer || framing == BodyFraming.CONNECTION_CLOSE) context.close() else onIdle(this)
     }
 
@@ -160,6 +188,15 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
+
+        /** An attempt whose answer comes after more interim and late ones than this gets none. */
+        const val MAX_SKIPPED_HEADS = 16
+
+        /** More than a late answer or the body of a rejection usually has. */
+        const val MAX_DISCARDED_BYTES = 1_048_576L
+
+        /** The rest of a rejection usually arrives with its head. */
+        const val MAX_DISCARDING_MS = 1_000L
         val BODILESS_STATUSES = setOf(204, 304)
 
         /** Idle timeout of connections whose upstream has not sent its own. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -207,6 +207,11 @@
         listener.onAbandoned()
     }
 
+    /** Reads the rest of the answer without reporting it, so that the connection can be used again if it is short. */
+    fun discardRest() {
+        connection?.discardRest(listener)
+    }
+
     fun setReading(isReading: Boolean) {
         connection?.setReading(isReading)
     }
