--- a/core/src/main/kotlin/org/medlarhook/core/serving/limit/ProcessShare.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/limit/ProcessShare.kt
@@ -19,8 +19,8 @@
 ) {
     public companion object {
         /**
-         * The place of [process] in [list], the processes that published in the usage window before [window], as read at
-         * [readAtMs]. The next list is read [windowMs] later.
+         * The place of [process] in [list], the processes that published in the usage window before [window], as read
+         * at [readAtMs]. The next list is read [windowMs] later.
          *
          * Returns null if it is not in it, or if [firstWindow], in which it first published, is null or not over: the
          * others then read lists without it.
--- a/core/src/test/kotlin/org/medlarhook/core/serving/limit/ChangingFleetTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/limit/ChangingFleetTest.kt
@@ -12,7 +12,7 @@
 class ChangingFleetTest {
     private val engine = Incarnation("engine", 1)
 
-    /** A process that serves from [startMs] to [endMs], and is turned away by the store from [cutFromMs] to [cutToMs]. */
+    /** A process that serves from [startMs] to [endMs]; the store turns it away from [cutFromMs] to [cutToMs]. */
     private class Process(
         val name: String,
         val startMs: Long,
@@ -20,7 +20,7 @@
         val cutFromMs: Long = Long.MAX_VALUE,
         val cutToMs: Long = Long.MAX_VALUE,
     ) {
-        /** True if a list of [window] that is read at [atMs] has this process, which also publishes the window before. */
+        /** True if a list of [window] read at [atMs] has this process, which first publishes the window before, too. */
         fun isListed(window: Long, atMs: Long): Boolean {
             val fromMs = maxOf(startMs, window * WINDOW_MS)
             val untilMs = minOf(endMs, (window + 1) * WINDOW_MS)
