--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -11,7 +11,6 @@
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamRegistry
-import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.core.serving.load.ServiceEstimates
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.Demand
@@ -26,7 +25,6 @@
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
-import org.medlarhook.serving.peer.LimitPeers
 import org.medlarhook.serving.peer.LimitReport
 import org.medlarhook.serving.process.ServingBounds
 import org.medlarhook.serving.upstream.RequestPermits
@@ -51,7 +49,9 @@
     private val log: RequestLog,
 ) {
     private val random = Random(System.nanoTime())
-    private val availability = UpstreamAvailability(time, random, log)
+
+    /** What upstreams have said about the work that they want. */
+    val availability = UpstreamAvailability(time, random, log)
     val pool = UpstreamPool(loop, format, time, availability)
     val origins = StreamOrigins(time) { observeClocks() }
     private val retryAfterPolicy = RetryAfterPolicy(random)
@@ -60,7 +60,6 @@
     private var estimates: PersistentMap<String, ServiceEstimates> = persistentMapOf()
     private var processCount = 1
     private var inFlight = 0
-
     private val waitingRequests = WaitingRequests()
 
     /** The plain answers that are kept until they are whole. */
@@ -250,27 +249,13 @@
     /** The turns that an attempt claims at upstreams that limit their requests. */
     fun newPermits(): RequestPermits = RequestPermits(availability)
 
-    /** Sets this process's share of the limits of upstreams, or null while it has none. */
-    fun setShare(share: ProcessShare?) {
-        availability.share = share
-    }
-
-    /** Tells all other processes, through [peers], of limits that upstreams name. */
-    fun setLimitPeers(peers: LimitPeers) {
-        availability.peers = peers
-    }
-
     /** Records the limit of an upstream that another process has told of. */
     fun limitReported(report: LimitReport) {
         val incarnation = Incarnation(report.upstreamId, report.startedAtMs)
-        registry.find(report.upstreamId)?.takeIf {
-            it.incarnation == incarnation
-        }?.let { availability.reported(it, report) }
+        val upstream = registry.find(report.upstreamId)?.takeIf { it.incarnation == incarnation } ?: return
+        availability.reported(upstream, report)
     }
 
-    /** The limit of [incarnation] in requests a second over all processes, or null if it has none. */
-    fun limitPerS(incarnation: Incarnation): Double? = availability.limitPerS(incarnation)
-
     /** The engines of the prefill stage only prepare a prompt, so that their version does not matter. */
     private fun candidates(demand: Demand): List<Upstream> =
         registry.serving(demand.service)
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -189,7 +189,7 @@
             processes = counts.continuing
             if (processes.isNotEmpty()) onLoop { serving.setProcessCount(processes.size) }
             onLoop { peer.onProcessesRead(counts.peers) }
-            onLoop { serving.setShare(shareIn(current, usage, nowMs)) }
+            onLoop { serving.availability.share = shareIn(current, usage, nowMs) }
         }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -92,7 +92,7 @@
             it.open()
             serving.loop.execute {
                 serving.origins.peers = it
-                serving.setLimitPeers(it)
+                serving.availability.peers = it
             }
         }
         status.start()
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingStateDump.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingStateDump.kt
@@ -30,7 +30,7 @@
                         put("ownAttempts", load?.ownAttempts?.size ?: 0)
                         put("othersRequests", load?.otherRequestsAt(nowMs) ?: 0.0)
                         put("speedRatio", load?.speed?.ratio ?: 1.0)
-                        put("limitPerS", serving.limitPerS(upstream.incarnation))
+                        put("limitPerS", serving.availability.limitPerS(upstream.incarnation))
                         put("isAvoided", load?.failures?.isAvoided(nowMs) ?: false)
                     }
                 }
