Name turns consistently, and end the time-out of a discarded answer with it

Found in reading the change. The class that gives out turns was called after permits. The time-out of one discarded answer could close a connection that discarded a later one; it is cancelled now when its answer ends.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/limit/UpstreamLimits.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/limit/UpstreamLimits.kt
@@ -11,7 +11,7 @@
  *
  * Designed for engines in need that name a limit far below their usual load and are still preferred: they answer
  * quickly and hold the prefixes of sessions, and each process sees only its own requests. A process may send one
- * request at each of its turns in a [PermitSchedule]. A turn that is not used within [VALID_MS] is lost, so that
+ * request at each of its turns in a [TurnSchedule]. A turn that is not used within [VALID_MS] is lost, so that
  * processes can't save up turns and use them together.
  *
  * A limit holds for one incarnation only. All times are on the monotonic clock.
@@ -81,11 +81,11 @@
             copy(limits = limits.filterKeys { it in registered }.toPersistentMap())
         }
 
-    private fun scheduleOf(incarnation: Incarnation, perS: Double, share: ProcessShare, nowMs: Long): PermitSchedule {
+    private fun scheduleOf(incarnation: Incarnation, perS: Double, share: ProcessShare, nowMs: Long): TurnSchedule {
         val boundedPerS = perS.coerceIn(MIN_PER_S, MAX_PER_S)
         val usedPerS = if (nowMs <= share.freshUntilMs) boundedPerS else boundedPerS * STALE_SHARE
-        val turn = Math.floorMod(share.rank + incarnation.hashCode(), share.processes)
-        return PermitSchedule(usedPerS, turn, share.processes)
+        val place = Math.floorMod(share.rank + incarnation.hashCode(), share.processes)
+        return TurnSchedule(usedPerS, place, share.processes)
     }
 
     public companion object {
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -14,6 +14,7 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.UpstreamHead
+import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
 
 /**
@@ -41,6 +42,7 @@
 
     /** True while the rest of an answer is read after its attempt has ended. */
     private var isDiscarding = false
+    private var discardTimeout: Future<*>? = null
     private var discardedBytes = 0L
     private var skippedHeads = 0
     private var closesAfterAnswer = false
@@ -84,7 +86,8 @@
         if (listener !== attempt) return
         listener = null
         isDiscarding = true
-        context.executor().schedule({ if (isDiscarding) context.close() }, MAX_DISCARDING_MS, TimeUnit.MILLISECONDS)
+        discardTimeout =
+            context.executor().schedule({ context.close() }, MAX_DISCARDING_MS, TimeUnit.MILLISECONDS)
     }
 
     /** Stops or resumes reading, so that a slow caller causes back-pressure on the upstream. */
@@ -133,6 +136,7 @@
         if (discardedBytes > MAX_DISCARDED_BYTES) return failUnreadable()
         if (content !is LastHttpContent || !isDiscarding) return
         isDiscarding = false
+        discardTimeout?.cancel(false)
         reuseOrClose()
     }
 
