--- a/core/src/main/kotlin/org/medlarhook/core/serving/limit/TurnSchedule.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/limit/TurnSchedule.kt
@@ -7,9 +7,9 @@
  * The turns of one process at an upstream: moments, on the clock that all processes share, from which it may send one
  * request each.
  *
- * Turns follow each other at the upstream's limit and go to the processes in order, as in time-division multiple access.
- * That needs no messages, however small the limit and many the processes, and processes whose lists differ for a moment
- * still divide the limit by about their number.
+ * Turns follow each other at the upstream's limit and go to the processes in order, as in time-division multiple
+ * access. That needs no messages, however small the limit and many the processes, and processes whose lists differ for
+ * a moment still divide the limit by about their number.
  *
  * @param perS requests a second that the upstream takes from all processes together.
  * @param place this process's place in the order, from 0 until [processes].
