--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AnswerBuffers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AnswerBuffers.kt
@@ -4,8 +4,8 @@
 import io.netty.buffer.Unpooled
 
 /**
- * Limits the memory of plain answers that are kept until they are whole, over all requests and for each of them, so that
- * upstreams that send without end can't exhaust the process's memory. Used on the event loop only.
+ * Limits the memory of plain answers that are kept until they are whole, over all requests and for each of them, so
+ * that upstreams that send without end can't exhaust the process's memory. Used on the event loop only.
  *
  * @param maxBytes the greatest number of bytes kept in all.
  */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -115,8 +115,8 @@
     }
 
     /**
-     * Compares the clocks: after a suspension of the VM, keys are refused until the configuration is read again. Returns
-     * a number that changes with each suspension.
+     * Compares the clocks: after a suspension of the VM, keys are refused until the configuration is read again.
+     * Returns a number that changes with each suspension.
      */
     fun observeClocks(): Int {
         configFreshness = configFreshness.observed(nowMs(), time.wallMs())
@@ -213,8 +213,8 @@
     }
 
     /**
-     * Chooses the upstream of [demand] among those that may serve it and are not in [tried]. Where upstreams limit their
-     * requests, one that has not waited yet comes after those that wait.
+     * Chooses the upstream of [demand] among those that may serve it and are not in [tried]. Where upstreams limit
+     * their requests, one that has not waited yet comes after those that wait.
      */
     fun place(demand: Demand, tried: Set<String>, hasWaited: Boolean, nowMs: Long): Placement {
         val candidates = candidates(demand)
@@ -322,7 +322,7 @@
     fun prefillUpstreamIds(demand: Demand): List<String> =
         registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL }.map { it.id }
 
-    /** Frees the cache that [upstream] keeps under [cacheHandle], or leaves it to expire if that takes no request now. */
+    /** Frees the cache that [upstream] keeps under [cacheHandle], or lets it expire if that takes no request now. */
     fun releaseCache(upstream: Upstream, cacheHandle: String) {
         val permits = newPermits()
         if (!permits.claim(upstream)) return
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/RequestPermits.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/RequestPermits.kt
@@ -6,8 +6,9 @@
 /**
  * The turns at upstreams that limit their requests, as claimed for one attempt of a request when it is placed.
  *
- * A connection may have to be opened, or a prompt prefilled elsewhere, before a request is sent. A turn that was claimed
- * is kept until then; a limit that is named meanwhile applies as well. An attempt sends each upstream one request.
+ * A connection may have to be opened, or a prompt prefilled elsewhere, before a request is sent. A turn that was
+ * claimed is kept until then; a limit that is named meanwhile applies as well. An attempt sends each upstream one
+ * request.
  */
 internal class RequestPermits(
     private val availability: UpstreamAvailability,
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
@@ -148,8 +148,8 @@
     }
 
     /**
-     * The time until a request behind [ahead] others may be sent to one of [upstreams], or null if it may be sent now or
-     * there are none.
+     * The time until a request behind [ahead] others may be sent to one of [upstreams], or null if it may be sent now
+     * or there are none.
      */
     fun opensInMs(upstreams: List<Upstream>, ahead: Int, nowMs: Long): Long? {
         if (upstreams.any { isOpenAndUnlimited(it.incarnation, nowMs) }) return null
