--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -248,6 +248,8 @@
                     LogEvent.WINDOW_SENT,
                     "window" to window,
                     "counts" to frozenWindow.counts,
+                    "era" to era.current,
+                    "epoch" to authority.epoch,
                     "endedMs" to endedMs,
                     "processes" to counts.byProcess.size,
                     "isWhole" to isWhole,
@@ -268,7 +270,21 @@
                 listOf(authority.condition(), Condition(key, version)),
                 listOf(Write(key, RowJson.encode(frozenWindow))),
             )
-        return tables.transact(write).fold({ null }, { frozenWindow })
+        return tables.transact(write).fold(
+            { null },
+            {
+                if (existing == null) {
+                    logger.event(
+                        LogEvent.WINDOW_FROZEN,
+                        "window" to window,
+                        "counts" to counts,
+                        "era" to era.current,
+                        "epoch" to authority.epoch,
+                    )
+                }
+                frozenWindow
+            },
+        )
     }
 
     private fun countsOf(window: Long): Either<TableFailure, WindowCounts> =
