Compare the clocks by the one read of the store's clock, not by the three calls around it

The offset is now formed from the call that read the clock, which is wrong by half of that call at most.

--- /dev/null
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/StoreClockSample.kt
@@ -0,0 +1,17 @@
+package org.medlarhook.core.serving.usage
+
+/**
+ * One reading of the store's clock.
+ *
+ * @property storeMs the store's clock.
+ * @property sentAtMs the monotonic clock of this process when it sent the call.
+ * @property answeredAtMs the monotonic clock of this process when the answer had arrived.
+ */
+public data class StoreClockSample(
+    val storeMs: Long,
+    val sentAtMs: Long,
+    val answeredAtMs: Long,
+) {
+    /** The store's clock minus the monotonic clock. It is wrong by at most half of the time that the call took. */
+    public val storeMinusMonotonicMs: Long get() = storeMs - (sentAtMs + answeredAtMs) / 2
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -46,7 +46,7 @@
     private val process: String,
     private val serving: ServingLoop,
     private val tables: TableService,
-    private val clock: StoreClock,
+    clock: StoreClock,
     private val reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
@@ -55,6 +55,7 @@
 ) {
     private val scope = LeaseScope("usage")
     private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time, { era.current ?: 0 })
+    private val sharedClock = SharedClock(tables, clock, time)
     private val deliveredWindows = HashSet<Long>()
     private val countsByWindow = HashMap<Long, WindowCounts>()
     private val lookBackWindows = maxOf(MIN_LOOK_BACK_WINDOWS, bounds.usageLateMs / bounds.usageWindowMs)
@@ -113,7 +114,10 @@
 
     private fun step() {
         val usage = onLoop { serving.usage } ?: return
-        if (usage.offsetMs == null) return agreeOnClockOffset()
+        if (usage.offsetMs == null) {
+            sharedClock.agree()?.let { offsetMs -> onLoop { serving.updateUsage { it.withOffset(offsetMs) } } }
+            return
+        }
         val nowMs = time.monotonicMs()
         if (nowMs >= nextPublishAtMs) {
             publish(usage, nowMs, isClosing = false)
@@ -130,19 +134,6 @@
         }
     }
 
-    /** Sets the offset of the shared clock from the store's clock to the value that the first process has written. */
-    private fun agreeOnClockOffset() {
-        val begunAtMs = time.monotonicMs()
-        val storeMs = clock.readMs() ?: return
-        val ownOffsetMs = time.wallMs() - storeMs
-        val write =
-            Transaction(listOf(Condition(CLOCK_KEY, Condition.ABSENT)), listOf(Write(CLOCK_KEY, "$ownOffsetMs")))
-        tables.transact(write)
-        val agreedMs = tables.read(CLOCK_KEY).getOrNull()?.value?.toLongOrNull() ?: return
-        val monotonicAtReadMs = (begunAtMs + time.monotonicMs()) / 2
-        onLoop { serving.updateUsage { it.withOffset(agreedMs + storeMs - monotonicAtReadMs) } }
-    }
-
     private fun publish(usage: UsageWindows, nowMs: Long, isClosing: Boolean) {
         val current = usage.windowAt(usage.sharedClockMs(nowMs) ?: return)
         val windows = (usage.counts.keys + current + (current - 1)).filter { it <= current }
@@ -316,7 +307,6 @@
     private companion object {
         const val COUNT_TABLE = "usage-count"
         const val FROZEN_TABLE = "usage-window"
-        val CLOCK_KEY = RowKey("clock", "offset")
         const val WINDOW_DIGITS = 12
 
         /** Time between two steps; delays the take-over of an expired lease by at most this much. */
