Report a usage window no more than once with one count after a drill of the store

Cause: the sum of a window is formed once and kept in the store, so that each holder of the usage lease reports the same counts. A drill takes back the last seconds of the store: the sum that was already reported is gone, and with it the latest counts of the processes. The next holder took the missing row for a window that nobody had summed up, formed another sum from the older counts, and reported it. Class: a decision that was acted on outside is kept only where it can be lost.

Fix: a sum counts only in the era of the store in which it was written. Who could report a sum remembers it, and writes it again in a new era. A window whose sum could have been formed before the drill is reported only from such a row, else left out (509): a missing report is priced, a second one with other counts breaks the promise. When the era began is agreed on in a row, so that processes that start later know it too. Other windows are summed up four seconds after the rise, when all processes have published their counts again. The offset of the shared clock is written again if it was lost, and processes that start meanwhile wait for it.

--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -46,6 +46,8 @@
     WINDOW_FROZEN(506, "Usage window frozen"),
     WINDOW_SENT(507, "Usage window sent"),
     COPY_NOT_KEPT(508, "Copy of a receipt not stored: buffer full; the sidecar still holds the receipt"),
+    WINDOW_LEFT_OUT(509, "Usage window not sent: the store has lost its sum, which may have been sent before"),
+    USAGE_RECOVERED(510, "Sums, shared clock and beginning of the store's new era are in the store again"),
     PLATFORM_CALL_FAILED(601, "Call to the platform failed"),
     CONFIG_IN_FORCE(602, "Configuration in force"),
     CONFIG_UNREADABLE(603, "Configuration could not be read; the previous one stays in force"),
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.serving.duty
 
+import arrow.core.getOrElse
 import org.medlarhook.core.serving.usage.StoreClockSample
 import org.medlarhook.ports.Condition
 import org.medlarhook.ports.RowKey
@@ -7,6 +8,7 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.ports.Transaction
 import org.medlarhook.ports.Write
+import org.medlarhook.serving.process.StoreEra
 
 /**
  * The clock by which all processes number the usage windows: the store's clock plus an offset that the first process
@@ -16,14 +18,47 @@
     private val tables: TableService,
     private val clock: StoreClock,
     private val time: TimeSource,
+    private val era: StoreEra,
 ) {
-    /** Returns the shared clock minus the monotonic clock, or null if the store does not answer. */
-    fun agree(): Long? {
+    private var absentSinceMs: Long? = null
+
+    /**
+     * Returns the shared clock minus the monotonic clock at [nowMs], or null if that is not known yet.
+     *
+     * In a later era of the store, an absent row was lost in a drill; the processes that know it write it again, so that
+     * others wait for [AWAITED_MS] before they write their own.
+     */
+    fun agree(nowMs: Long): Long? {
         val sample = sample() ?: return null
+        val row = tables.read(KEY).getOrElse { return null }
+        if (row == null && !mayWriteFirst(nowMs)) return null
         val ownOffsetMs = time.wallMs() - time.monotonicMs() - sample.storeMinusMonotonicMs
-        tables.transact(Transaction(listOf(Condition(KEY, Condition.ABSENT)), listOf(Write(KEY, "$ownOffsetMs"))))
-        val agreedMs = tables.read(KEY).getOrNull()?.value?.toLongOrNull() ?: return null
-        return agreedMs + sample.storeMinusMonotonicMs
+        if (row == null) {
+            tables.transact(Transaction(listOf(Condition(KEY, Condition.ABSENT)), listOf(Write(KEY, "$ownOffsetMs"))))
+        }
+        val agreed = row ?: tables.read(KEY).getOrNull()
+        return agreed?.value?.toLongOrNull()?.plus(sample.storeMinusMonotonicMs)
+    }
+
+    private fun mayWriteFirst(nowMs: Long): Boolean {
+        val sinceMs = absentSinceMs ?: nowMs.also { absentSinceMs = it }
+        return era.current == 0L || nowMs - sinceMs >= AWAITED_MS
+    }
+
+    /**
+     * Writes the offset again if a drill of the store has lost it or set the store's clock back.
+     *
+     * @param offsetMs the shared clock minus the monotonic clock, as this process knows it.
+     * @return the same as the rows give it if that is more, else [offsetMs]; null if the store does not answer.
+     */
+    fun restore(offsetMs: Long): Long? {
+        val sample = sample() ?: return null
+        val row = tables.read(KEY).getOrElse { return null }
+        val agreedMs = row?.value?.toLongOrNull()?.plus(sample.storeMinusMonotonicMs)
+        if (agreedMs != null && agreedMs > offsetMs - GREATEST_DIFFERENCE_MS) return maxOf(agreedMs, offsetMs)
+        val write = Write(KEY, "${offsetMs - sample.storeMinusMonotonicMs}")
+        tables.transact(Transaction(listOf(Condition(KEY, row?.version ?: Condition.ABSENT)), listOf(write)))
+        return offsetMs
     }
 
     private fun sample(): StoreClockSample? {
@@ -34,5 +69,11 @@
 
     private companion object {
         val KEY = RowKey("clock", "offset")
+
+        /** Processes that know the offset write it again within a second of a drill. */
+        const val AWAITED_MS = 2_000L
+
+        /** More than two processes differ by, whose calls to the store took up to their timeout. */
+        const val GREATEST_DIFFERENCE_MS = 1_000L
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -3,7 +3,7 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.Serializable
+import org.medlarhook.core.lease.Jitter
 import org.medlarhook.core.lease.LeaseCandidates
 import org.medlarhook.core.lease.LeaseManager
 import org.medlarhook.core.lease.LeaseScope
@@ -11,9 +11,9 @@
 import org.medlarhook.core.row.RowJson
 import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.core.serving.usage.ProcessCount
+import org.medlarhook.core.serving.usage.SumPermission
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.core.serving.usage.WindowCounts
-import org.medlarhook.ports.Condition
 import org.medlarhook.ports.Row
 import org.medlarhook.ports.RowKey
 import org.medlarhook.ports.TableFailure
@@ -55,8 +55,12 @@
 ) {
     private val scope = LeaseScope("usage")
     private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time, { era.current ?: 0 })
-    private val sharedClock = SharedClock(tables, clock, time)
+    private val sharedClock = SharedClock(tables, clock, time, era)
+    private val frozenWindows = FrozenWindows(tables, era)
+    private val drill = DrillRecovery(process, tables, era, sharedClock, frozenWindows)
     private val deliveredWindows = HashSet<Long>()
+    private val leftOutWindows = HashSet<Long>()
+    private val jitter = Jitter(FULL_SPREAD_PERCENT, process)
     private val countsByWindow = HashMap<Long, WindowCounts>()
     private val lookBackWindows = maxOf(MIN_LOOK_BACK_WINDOWS, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, ProcessCount>()
@@ -115,10 +119,13 @@
     private fun step() {
         val usage = onLoop { serving.usage } ?: return
         if (usage.offsetMs == null) {
-            sharedClock.agree()?.let { offsetMs -> onLoop { serving.updateUsage { it.withOffset(offsetMs) } } }
+            sharedClock.agree(time.monotonicMs())?.let { offsetMs ->
+                onLoop { serving.updateUsage { it.withOffset(offsetMs) } }
+            }
             return
         }
         val nowMs = time.monotonicMs()
+        followEra(usage.offsetMs!!, nowMs)
         if (nowMs >= nextPublishAtMs) {
             publish(usage, nowMs, isClosing = false)
             nextPublishAtMs = nowMs + PUBLISH_EVERY_MS
@@ -130,10 +137,18 @@
         readProcesses(current, usage, nowMs)
         if (isHolding && nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + REPORT_EVERY_MS
-            (maxOf(first, current - lookBackWindows)..current - 1).forEach { report(it, usage, nowMs) }
+            val eraStart = drill.start?.takeIf { it.era == lease.authority()?.scope?.tableEra } ?: return
+            (maxOf(first, current - lookBackWindows)..current - 1).forEach { report(it, usage, eraStart, nowMs) }
         }
     }
 
+    /** After a drill of the store, publishes all counts again that may be lost, in addition to what is due. */
+    private fun followEra(offsetMs: Long, nowMs: Long) {
+        if (!drill.follow(nowMs, offsetMs)) return
+        published.clear()
+        nextPublishAtMs = minOf(nextPublishAtMs, nowMs + jitter.spread(PUBLISH_AGAIN_MS / 2, nowMs))
+    }
+
     private fun publish(usage: UsageWindows, nowMs: Long, isClosing: Boolean) {
         val current = usage.windowAt(usage.sharedClockMs(nowMs) ?: return)
         val windows = (usage.counts.keys + current + (current - 1)).filter { it <= current }
@@ -160,6 +175,8 @@
         val oldest = current - lookBackWindows - KEPT_WINDOWS
         published.keys.removeIf { it < oldest }
         deliveredWindows.removeIf { it < oldest }
+        leftOutWindows.removeIf { it < oldest }
+        frozenWindows.forgetBefore(oldest)
         countsByWindow.keys.removeIf { it < oldest }
         onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
     }
@@ -220,64 +237,58 @@
         isHolding = holds
     }
 
-    private fun report(window: Long, usage: UsageWindows, nowMs: Long) {
+    private fun report(window: Long, usage: UsageWindows, eraStart: DrillRecovery.EraStart, nowMs: Long) {
         if (window in deliveredWindows) return
-        val endedMs = usage.sharedClockMs(nowMs)!! - (window + 1) * bounds.usageWindowMs
-        if (endedMs < SETTLE_MS) return
+        val sharedMs = usage.sharedClockMs(nowMs)!!
+        val windowEndMs = (window + 1) * bounds.usageWindowMs
+        if (sharedMs < windowEndMs + SETTLE_MS) return
+        when (SumPermission.of(windowEndMs, SETTLE_MS, eraStart.startedAtMs, sharedMs)) {
+            SumPermission.AWAITING_COUNTS -> Unit
+            SumPermission.SUM_MAY_BE_LOST -> deliverExisting(window, sharedMs - windowEndMs)
+            SumPermission.GRANTED -> deliverSum(window, sharedMs - windowEndMs)
+        }
+    }
+
+    /** Reports a window whose sum another process has written again after a drill, or leaves it out. */
+    private fun deliverExisting(window: Long, endedMs: Long) {
+        val authority = lease.authority() ?: return
+        val counts = frozenWindows.freeze(window, authority) { null }
+        if (counts != null) return deliver(window, counts, endedMs, "writtenAgain" to true)
+        if (leftOutWindows.add(window)) {
+            logger.warnEvent(LogEvent.WINDOW_LEFT_OUT, "window" to window, "era" to era.current, "endedMs" to endedMs)
+        }
+    }
+
+    private fun deliverSum(window: Long, endedMs: Long) {
         val counts = countsOf(window).getOrElse { return }
         val earlier = (window - AWAITED_WINDOWS..<window).mapNotNull { countsByWindow[it] ?: countsOf(it).getOrNull() }
         countsByWindow[window] = counts
         val isWhole = counts.isWhole(earlier)
         if (!isWhole && endedMs < bounds.usageLateMs - LATE_MARGIN_MS) return
-        val frozenWindow = freeze(window, counts.sum()) ?: return
+        val authority = lease.authority() ?: return
+        val sum = frozenWindows.freeze(window, authority) { counts.sum() } ?: return
+        deliver(window, sum, endedMs, "processes" to counts.byProcess.size, "isWhole" to isWhole)
+    }
+
+    private fun deliver(window: Long, counts: Map<String, Long>, endedMs: Long, vararg details: Pair<String, Any>) {
         val authority = lease.authority()?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
-        reporting.deliver(window, frozenWindow.counts, process.substringBefore('#'), authority.epoch).fold(
+        reporting.deliver(window, counts, process.substringBefore('#'), authority.epoch).fold(
             { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
             {
                 deliveredWindows += window
                 logger.event(
                     LogEvent.WINDOW_SENT,
                     "window" to window,
-                    "counts" to frozenWindow.counts,
+                    "counts" to counts,
                     "era" to era.current,
                     "epoch" to authority.epoch,
                     "endedMs" to endedMs,
-                    "processes" to counts.byProcess.size,
-                    "isWhole" to isWhole,
+                    *details,
                 )
             },
         )
     }
 
-    /** Writes the sum of [window] unless it exists, on the condition that the lease is still held, and returns it. */
-    private fun freeze(window: Long, counts: Map<String, Long>): FrozenWindow? {
-        val authority = lease.authority() ?: return null
-        val key = RowKey(FROZEN_TABLE, windowKey(window))
-        val existing = tables.read(key).getOrElse { return null }
-        val frozenWindow = existing?.let { RowJson.decode<FrozenWindow>(it.value) } ?: FrozenWindow(counts)
-        val version = existing?.version ?: Condition.ABSENT
-        val write =
-            Transaction(
-                listOf(authority.condition(), Condition(key, version)),
-                listOf(Write(key, RowJson.encode(frozenWindow))),
-            )
-        return tables.transact(write).fold(
-            { null },
-            {
-                if (existing == null) {
-                    logger.event(
-                        LogEvent.WINDOW_FROZEN,
-                        "window" to window,
-                        "counts" to counts,
-                        "era" to era.current,
-                        "epoch" to authority.epoch,
-                    )
-                }
-                frozenWindow
-            },
-        )
-    }
-
     private fun countsOf(window: Long): Either<TableFailure, WindowCounts> =
         tables.scan(COUNT_TABLE, prefix = "${windowKey(window)}/").map { rows ->
             WindowCounts(rows.mapNotNull { row -> countOf(row)?.let { processOf(row) to it } }.toMap())
@@ -292,22 +303,13 @@
 
     private fun rowKey(window: Long): RowKey = RowKey(COUNT_TABLE, "${windowKey(window)}/$process")
 
-    private fun windowKey(window: Long): String = window.toString().padStart(WINDOW_DIGITS, '0')
-
     private fun <T : Any> onLoop(task: () -> T): T? =
         runCatching { serving.loop.submit(task).get(LOOP_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
             .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "loop", "cause" to it.toString()) }
             .getOrNull()
 
-    @Serializable
-    private data class FrozenWindow(
-        val counts: Map<String, Long>,
-    )
-
     private companion object {
         const val COUNT_TABLE = "usage-count"
-        const val FROZEN_TABLE = "usage-window"
-        const val WINDOW_DIGITS = 12
 
         /** Time between two steps; delays the take-over of an expired lease by at most this much. */
         const val PERIOD_MS = 500L
@@ -315,6 +317,10 @@
         /** A process that is killed loses at most the counts of this time. */
         const val PUBLISH_EVERY_MS = 2_000L
 
+        /** After a drill, the processes publish their counts again within this time, at moments of their own. */
+        const val PUBLISH_AGAIN_MS = 1_000L
+        const val FULL_SPREAD_PERCENT = 100
+
         /** Time between two reads of the windows that are due: a tenth of the time within which a report is due. */
         const val REPORT_EVERY_MS = 1_000L
 
