Log and count the retries that the budgets allow and refuse

The line of a request now has its arrivals at upstreams, the retries withdrawn for it and whether one was refused; counters and the divisor of the slack are metrics.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -138,6 +138,11 @@
         handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, permits, attempt)
     }
 
+    /** Records that the prefill was sent. */
+    fun prefillSent() {
+        record.arrivals++
+    }
+
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
     fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
         if (isDone) return serving.releaseCache(chosen.prefill!!, cacheHandle)
@@ -192,6 +197,7 @@
 
     /** Records that the request was sent, so that the upstream may run it from now on. */
     fun attemptSent() {
+        record.arrivals++
         mayHaveRun = true
         possibleRuns++
     }
@@ -269,7 +275,13 @@
             demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
             serving.endsBeforeShutdown(demand, nowMs) &&
             serving.hasUntriedUpstream(demand, tried, nowMs) &&
-            serving.withdrawRetry(demand.service, nowMs)
+            withdrawRetry(nowMs)
+    }
+
+    private fun withdrawRetry(nowMs: Long): Boolean {
+        val isWithdrawn = serving.retryBudgets.withdraw(demand.service, nowMs)
+        if (isWithdrawn) record.retries++ else record.isRetryRefused = true
+        return isWithdrawn
     }
 
     /** Refuses the request with [code] if no upstream can have begun it, or ends it as one that may have run. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -23,6 +23,15 @@
     /** The time from the request's arrival to the first event of its stream, or null if there was none. */
     var firstEventMs: Long? = null
     var isOrphaned = false
+
+    /** Times that the request was sent to an upstream on an open connection, prefills included. */
+    var arrivals = 0
+
+    /** Retries that were withdrawn from the budget. */
+    var retries = 0
+
+    /** True if the budget had no retry left for the request. */
+    var isRetryRefused = false
     private val attempts = ArrayList<String>()
     private var sentAtMs = 0L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -21,7 +21,9 @@
     private val body = Unpooled.buffer()
     private var head: UpstreamHead? = null
 
-    override fun onSent() = Unit
+    override fun onSent() {
+        exchange.prefillSent()
+    }
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -49,6 +49,9 @@
                 "config" to configVersion,
                 "configAgeMs" to confirmedAtMs?.let { nowMs - it },
                 "attempts" to record.attemptsText,
+                "arrivals" to record.arrivals,
+                "retries" to record.retries.takeIf { it > 0 },
+                "retryRefused" to record.isRetryRefused.takeIf { it },
                 "retryAfterMs" to record.retryAfterMs,
                 "resumes" to record.call.resumedAttemptId,
                 "lastEventId" to record.call.lastEventId,
@@ -136,6 +139,16 @@
         )
     }
 
+    /** Counts a retry that was withdrawn from the budget of its service, or refused because that is used up. */
+    fun retry(isWithdrawn: Boolean) {
+        Counter
+            .builder("medlarhook.retries")
+            .description("Retries that were withdrawn from the retry budget, or refused by it")
+            .tag("outcome", if (isWithdrawn) "withdrawn" else "refused")
+            .register(registry)
+            .increment()
+    }
+
     private fun announcements(kind: String): Counter =
         Counter
             .builder("medlarhook.upstreams.announcements")
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -19,7 +19,6 @@
 import org.medlarhook.core.serving.refuse.ReopeningWait
 import org.medlarhook.core.serving.refuse.RetryAfterPolicy
 import org.medlarhook.core.serving.resume.StreamOrigin
-import org.medlarhook.core.serving.retry.WindowedRetryBudget
 import org.medlarhook.core.serving.shutdown.ShutdownAdmission
 import org.medlarhook.core.serving.shutdown.ShutdownWindow
 import org.medlarhook.core.serving.trust.ConfigFreshness
@@ -56,12 +55,13 @@
     val origins = StreamOrigins(time) { observeClocks() }
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
-    private var retryBudgets: PersistentMap<String, WindowedRetryBudget> = persistentMapOf()
     private var estimates: PersistentMap<String, ServiceEstimates> = persistentMapOf()
-    private var processCount = 1
     private var inFlight = 0
     private val waitingRequests = WaitingRequests()
 
+    /** The retries that this process may send. */
+    val retryBudgets = RetryBudgets(bounds, log)
+
     /** The plain answers that are kept until they are whole. */
     val answerBuffers = AnswerBuffers()
 
@@ -130,21 +130,11 @@
         dropUnregistered()
     }
 
-    /** Sets the number of serving processes, among which the slack of the retry budgets is divided. */
-    fun setProcessCount(count: Int) {
-        processCount = count.coerceAtLeast(1)
-        updateRetryLimits()
-    }
-
     /** Puts [newer] bounds in force. */
     fun updateBounds(newer: ServingBounds) {
         bounds = newer
         configFreshness = configFreshness.withMaxAge(newer.keyTrustMs)
-        updateRetryLimits()
-    }
-
-    private fun updateRetryLimits() {
-        retryBudgets = retryBudgets.mapBudgets { it.withLimits(bounds.repeatRatio, bounds.repeatSlack / processCount) }
+        retryBudgets.updateBounds(newer)
     }
 
     /** Begins the graceful shutdown, from which on each answer closes its connection. */
@@ -178,7 +168,7 @@
             }
         val waitMs = minOf(call.remainingMs ?: route.timeoutMs, route.timeoutMs)
         val service = chooseService(route)
-        retryBudgets = retryBudgets.put(service, retryBudgetOf(service).requested(atMs))
+        retryBudgets.requested(service, atMs)
         val demand =
             Demand(
                 route = route,
@@ -287,13 +277,6 @@
         return untried.isNotEmpty() && nowMs + opensInMs < demand.deadlineAtMs
     }
 
-    /** Takes one retry from the budget of [service], or returns false if none is left. */
-    fun withdrawRetry(service: String, nowMs: Long): Boolean {
-        val left = retryBudgetOf(service).withdraw(nowMs) ?: return false
-        retryBudgets = retryBudgets.put(service, left)
-        return true
-    }
-
     /** The Retry-After time of a request that was refused with [placement]. */
     fun retryAfterMs(demand: Demand, placement: Placement, nowMs: Long): Long {
         val remainingMs = demand.deadlineAtMs - nowMs
@@ -361,13 +344,6 @@
             ?: targets.last().service
     }
 
-    private fun retryBudgetOf(service: String): WindowedRetryBudget =
-        retryBudgets[service] ?: WindowedRetryBudget(
-            bounds.repeatRatio,
-            bounds.repeatSlack / processCount,
-            bounds.repeatWindowMs,
-        )
-
     private fun dropUnregistered() {
         val known = registry.all().map(Upstream::incarnation).toSet()
         availability.prune(known)
@@ -376,12 +352,6 @@
         if (removed.isNotEmpty()) loads = removed.fold(loads) { kept, incarnation -> kept.remove(incarnation) }
     }
 
-    private fun PersistentMap<String, WindowedRetryBudget>.mapBudgets(
-        change: (WindowedRetryBudget) -> WindowedRetryBudget,
-    ): PersistentMap<String, WindowedRetryBudget> = entries.fold(this) { all, (service, budget) ->
-        all.put(service, change(budget))
-    }
-
     private companion object {
         /** A process that has just started has read its configuration within this time. */
         const val RETRY_WITHOUT_CONFIG_MS = 300L
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -187,7 +187,7 @@
             processesReadInWindow = current
             nextProcessesReadAtMs = nowMs
             processes = counts.continuing
-            if (processes.isNotEmpty()) onLoop { serving.setProcessCount(processes.size) }
+            if (processes.isNotEmpty()) onLoop { serving.retryBudgets.setProcessCount(processes.size) }
             onLoop { peer.onProcessesRead(counts.peers) }
             onLoop { serving.availability.share = shareIn(current, usage, nowMs) }
         }
