Withdraw each arrival beyond a request's first from the retry budget

Cause: retries were counted per failed attempt, not per arrival. A decode that met a closed port was no failed attempt, so that its request was prefilled again at another engine without a withdrawal; and each retry that was withdrawn arrived twice, as a prefill and as a decode. So did a request whose prefill was rejected.

Evidence: RetryBudgetTest failed in five of seven cases with '120 arrivals beyond the first for 150 requests; allowed 80' (503, 421, connection lost), '300 arrivals ...; allowed 80' (closed ports) and '150 arrivals beyond the first for 160 requests; allowed 82' (rejected prefills). All seven pass now.

The exchange pays in one place, before it sends: RequestArrivals says what the next arrival costs, ArrivalAccount withdraws it and puts back what was not sent or was the first prefill that an upstream has accepted. A request is prefilled separately at most once, since a second prefill and its decode would be two retries. With an empty budget a request that cannot have run is refused as not run at once.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
@@ -22,12 +22,20 @@
     public fun requested(nowMs: Long): WindowedRetryBudget = counted(nowMs) { it.copy(requests = it.requests + 1) }
 
     /** Takes one retry at [nowMs] out of the budget; returns null if none is left. */
-    public fun withdraw(nowMs: Long): WindowedRetryBudget? {
+    public fun withdraw(nowMs: Long): WindowedRetryBudget? =
+        if (hasLeft(nowMs)) counted(nowMs) { it.copy(retries = it.retries + 1) } else null
+
+    /** True if the budget has a retry left at [nowMs]. */
+    public fun hasLeft(nowMs: Long): Boolean {
         val recent = recent(nowMs)
-        val requests = recent.values.sumOf { it.requests }
-        val retries = recent.values.sumOf { it.retries }
-        if (retries + 1 > requests * ratio + slack) return null
-        return counted(nowMs) { it.copy(retries = it.retries + 1) }
+        return recent.values.sumOf { it.retries } + 1 <= recent.values.sumOf { it.requests } * ratio + slack
+    }
+
+    /** Returns a retry that was withdrawn at [withdrawnAtMs] and not sent. */
+    public fun returned(withdrawnAtMs: Long): WindowedRetryBudget {
+        val bucket = bucketOf(withdrawnAtMs)
+        val counts = buckets[bucket] ?: return this
+        return copy(buckets = buckets.put(bucket, counts.copy(retries = (counts.retries - 1).coerceAtLeast(0))))
     }
 
     /** Changes the ratio and this process's share of the slack. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -41,6 +41,8 @@
         ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
     }
 
+    private val account = ArrivalAccount(serving.retryBudgets, record)
+
     /** Admits and places the request, or refuses it. */
     fun start() {
         when (val admission = serving.admit(call)) {
@@ -121,7 +123,9 @@
         if (!isAwaited) refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.retryAfterMs(demand, placement, nowMs))
     }
 
+    /** Sends the request, or refuses it if that would be a retry and the budget has none left. */
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
+        if (!account.pay(demand.service, isPrefill = chosen.prefill != null, nowMs)) return refuseRetry()
         placed = chosen
         placedAtMs = nowMs
         permits = serving.newPermits()
@@ -129,9 +133,12 @@
         if (chosen.prefill == null) send(chosen, AttemptStep.Whole, nowMs) else prefill(chosen, chosen.prefill!!, nowMs)
     }
 
-    /** Sends the prefill to [prefillUpstream]. It does not count as a run of the request. */
+    /**
+     * Sends the prefill to [prefillUpstream]. It does not count as a run of the request. Later attempts send the request
+     * whole, because a second prefill and its decode would be two retries.
+     */
     private fun prefill(chosen: Placement.Chosen, prefillUpstream: Upstream, nowMs: Long) {
-        tried += prefillUpstream.id
+        tried += serving.prefillUpstreamIds(demand)
         record.prefillSent(chosen, nowMs)
         val request = serving.format.upstreamRequest(call, prefillUpstream, options(chosen, AttemptStep.Prefill, nowMs))
         val attempt = PrefillAttempt(this, serving, demand, chosen, nowMs)
@@ -145,12 +152,18 @@
 
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
     fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
+        account.prefillAccepted()
         if (isDone) return serving.releaseCache(chosen.prefill!!, cacheHandle)
         if (!permits.claim(chosen.upstream)) {
             serving.releaseCache(chosen.prefill!!, cacheHandle)
             return prefillFailed("decode_not_accepted")
         }
-        send(chosen, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), serving.nowMs())
+        val nowMs = serving.nowMs()
+        if (!account.pay(demand.service, isPrefill = false, nowMs)) {
+            serving.releaseCache(chosen.prefill!!, cacheHandle)
+            return refuseRetry()
+        }
+        send(chosen, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), nowMs)
     }
 
     /** Abandons the attempt that runs, so that its upstream stops. */
@@ -159,10 +172,10 @@
     }
 
     /** Places the request again without a separate prefill, after the prefill has failed. */
-    fun prefillFailed(reason: String) {
+    fun prefillFailed(reason: String, wasSent: Boolean = true) {
         record.failed(reason)
+        if (!wasSent) account.notSent()
         if (isDone) return
-        tried += serving.prefillUpstreamIds(demand)
         placeAgain()
     }
 
@@ -235,6 +248,7 @@
     /** Handles an attempt without a complete answer: retries it if it was not sent or its route allows a second run. */
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
+        if (!wasSent) account.notSent()
         if (isDone) return
         when {
             !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
@@ -275,14 +289,10 @@
             demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
             serving.endsBeforeShutdown(demand, nowMs) &&
             serving.hasUntriedUpstream(demand, tried, nowMs) &&
-            withdrawRetry(nowMs)
+            account.canPay(demand.service, nowMs)
     }
 
-    private fun withdrawRetry(nowMs: Long): Boolean {
-        val isWithdrawn = serving.retryBudgets.withdraw(demand.service, nowMs)
-        if (isWithdrawn) record.retries++ else record.isRetryRefused = true
-        return isWithdrawn
-    }
+    private fun refuseRetry() = refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
 
     /** Refuses the request with [code] if no upstream can have begun it, or ends it as one that may have run. */
     private fun refuseIfNotRun(code: ResultCode, retryAfterMs: Long?) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -56,7 +56,7 @@
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         body.release()
         if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent = false)
-        exchange.prefillFailed(reason.name.lowercase())
+        exchange.prefillFailed(reason.name.lowercase(), wasSent)
     }
 
     override fun onAbandoned() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -139,12 +139,12 @@
         )
     }
 
-    /** Counts a retry that was withdrawn from the budget of its service, or refused because that is used up. */
-    fun retry(isWithdrawn: Boolean) {
+    /** Counts what became of a retry that a request needed. */
+    fun retry(outcome: RetryOutcome) {
         Counter
             .builder("medlarhook.retries")
-            .description("Retries that were withdrawn from the retry budget, or refused by it")
-            .tag("outcome", if (isWithdrawn) "withdrawn" else "refused")
+            .description("Retries that requests needed, by what the retry budgets gave")
+            .tag("outcome", outcome.name.lowercase())
             .register(registry)
             .increment()
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
@@ -34,11 +34,21 @@
     /** Takes one retry from the budget of [service], or returns false if none is left. */
     fun withdraw(service: String, nowMs: Long): Boolean {
         val left = budgetOf(service).withdraw(nowMs)
-        log.retry(isWithdrawn = left != null)
+        log.retry(if (left == null) RetryOutcome.REFUSED else RetryOutcome.WITHDRAWN)
         budgets[service] = left ?: return false
         return true
     }
 
+    /** True if a retry is left in the budget of [service]; counts a refusal if none is. */
+    fun allows(service: String, nowMs: Long): Boolean =
+        budgetOf(service).hasLeft(nowMs).also { if (!it) log.retry(RetryOutcome.REFUSED) }
+
+    /** Returns a retry to the budget of [service] that was withdrawn at [withdrawnAtMs] and not sent. */
+    fun putBack(service: String, withdrawnAtMs: Long) {
+        budgets[service] = budgetOf(service).returned(withdrawnAtMs)
+        log.retry(RetryOutcome.RETURNED)
+    }
+
     private fun updateLimits() {
         budgets.replaceAll { _, budget -> budget.withLimits(bounds.repeatRatio, slackShare()) }
     }
