--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -21,7 +21,9 @@
     private val body = Unpooled.buffer()
     private var head: UpstreamHead? = null
 
-    override fun onSent() = Unit
+    override fun onSent() {
+        exchange.prefillSent()
+    }
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
@@ -54,7 +56,7 @@
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         body.release()
         if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent = false)
-        exchange.prefillFailed(reason.name.lowercase())
+        exchange.prefillFailed(reason.name.lowercase(), wasSent)
     }
 
     override fun onAbandoned() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -49,6 +49,9 @@
                 "config" to configVersion,
                 "configAgeMs" to confirmedAtMs?.let { nowMs - it },
                 "attempts" to record.attemptsText,
+                "arrivals" to record.arrivals,
+                "retries" to record.retries.takeIf { it > 0 },
+                "retryRefused" to record.isRetryRefused.takeIf { it },
                 "retryAfterMs" to record.retryAfterMs,
                 "resumes" to record.call.resumedAttemptId,
                 "lastEventId" to record.call.lastEventId,
@@ -136,6 +139,16 @@
         )
     }
 
+    /** Counts what became of a retry that a request needed. */
+    fun retry(outcome: RetryOutcome) {
+        Counter
+            .builder("medlarhook.retries")
+            .description("Retries that requests needed, by what the retry budgets gave")
+            .tag("outcome", outcome.name.lowercase())
+            .register(registry)
+            .increment()
+    }
+
     private fun announcements(kind: String): Counter =
         Counter
             .builder("medlarhook.upstreams.announcements")
