Move counts and reports of usage windows into classes of their own

Behaviour is as it was; a report is tied to the era of the store that its permission was decided for in one place now.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -1,26 +1,16 @@
 package org.medlarhook.serving.duty
 
-import arrow.core.Either
-import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.medlarhook.core.lease.Jitter
 import org.medlarhook.core.lease.LeaseCandidates
 import org.medlarhook.core.lease.LeaseManager
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
-import org.medlarhook.core.row.RowJson
 import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.core.serving.usage.ProcessCount
-import org.medlarhook.core.serving.usage.SumPermission
 import org.medlarhook.core.serving.usage.UsageWindows
-import org.medlarhook.core.serving.usage.WindowCounts
-import org.medlarhook.ports.Row
-import org.medlarhook.ports.RowKey
-import org.medlarhook.ports.TableFailure
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
-import org.medlarhook.ports.Transaction
-import org.medlarhook.ports.Write
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
@@ -45,9 +35,9 @@
 internal class UsageReporter(
     private val process: String,
     private val serving: ServingLoop,
-    private val tables: TableService,
+    tables: TableService,
     clock: StoreClock,
-    private val reporting: WindowReporting,
+    reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
     private val peer: ReportedPeer,
@@ -58,10 +48,10 @@
     private val sharedClock = SharedClock(tables, clock, time, era)
     private val frozenWindows = FrozenWindows(tables, era)
     private val drill = DrillRecovery(process, tables, era, sharedClock, frozenWindows)
-    private val deliveredWindows = HashSet<Long>()
-    private val leftOutWindows = HashSet<Long>()
+    private val counts = UsageCounts(process, tables)
+    private val reports =
+        WindowReports(process.substringBefore('#'), lease, counts, frozenWindows, reporting, bounds, time)
     private val jitter = Jitter(FULL_SPREAD_PERCENT, process)
-    private val countsByWindow = HashMap<Long, WindowCounts>()
     private val lookBackWindows = maxOf(MIN_LOOK_BACK_WINDOWS, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, ProcessCount>()
     private var firstWindow: Long? = null
@@ -137,8 +127,9 @@
         readProcesses(current, usage, nowMs)
         if (isHolding && nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + REPORT_EVERY_MS
-            val eraStart = drill.start?.takeIf { it.era == lease.authority()?.scope?.tableEra } ?: return
-            (maxOf(first, current - lookBackWindows)..current - 1).forEach { report(it, usage, eraStart, nowMs) }
+            val eraStart = drill.start ?: return
+            val sharedMs = usage.sharedClockMs(nowMs)!!
+            (maxOf(first, current - lookBackWindows)..current - 1).forEach { reports.report(it, eraStart, sharedMs) }
         }
     }
 
@@ -163,8 +154,7 @@
                 if (published[window] == next) null else window to next
             }
         if (writes.isEmpty()) return
-        val rows = writes.map { (window, row) -> Write(rowKey(window), RowJson.encode(row)) }
-        tables.transact(Transaction(emptyList(), rows)).onRight {
+        counts.publish(writes).onRight {
             published += writes
             if (firstPublishedWindow == null) firstPublishedWindow = current
             dropOldWindows(current)
@@ -174,10 +164,7 @@
     private fun dropOldWindows(current: Long) {
         val oldest = current - lookBackWindows - KEPT_WINDOWS
         published.keys.removeIf { it < oldest }
-        deliveredWindows.removeIf { it < oldest }
-        leftOutWindows.removeIf { it < oldest }
-        frozenWindows.forgetBefore(oldest)
-        countsByWindow.keys.removeIf { it < oldest }
+        reports.forgetBefore(oldest)
         onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
     }
 
@@ -191,7 +178,7 @@
             return
         }
         nextProcessesReadAtMs = nowMs + PUBLISH_EVERY_MS
-        countsOf(current - 1).onRight { counts ->
+        counts.of(current - 1).onRight { counts ->
             processesReadInWindow = current
             nextProcessesReadAtMs = nowMs
             processes = counts.continuing
@@ -237,80 +224,12 @@
         isHolding = holds
     }
 
-    private fun report(window: Long, usage: UsageWindows, eraStart: DrillRecovery.EraStart, nowMs: Long) {
-        if (window in deliveredWindows) return
-        val sharedMs = usage.sharedClockMs(nowMs)!!
-        val windowEndMs = (window + 1) * bounds.usageWindowMs
-        if (sharedMs < windowEndMs + SETTLE_MS) return
-        when (SumPermission.of(windowEndMs, SETTLE_MS, eraStart.startedAtMs, sharedMs)) {
-            SumPermission.AWAITING_COUNTS -> Unit
-            SumPermission.SUM_MAY_BE_LOST -> deliverExisting(window, sharedMs - windowEndMs)
-            SumPermission.GRANTED -> deliverSum(window, sharedMs - windowEndMs)
-        }
-    }
-
-    /** Reports a window whose sum another process has written again after a drill, or leaves it out. */
-    private fun deliverExisting(window: Long, endedMs: Long) {
-        val authority = lease.authority() ?: return
-        val counts = frozenWindows.freeze(window, authority) { null }
-        if (counts != null) return deliver(window, counts, endedMs, "writtenAgain" to true)
-        if (leftOutWindows.add(window)) {
-            logger.warnEvent(LogEvent.WINDOW_LEFT_OUT, "window" to window, "era" to era.current, "endedMs" to endedMs)
-        }
-    }
-
-    private fun deliverSum(window: Long, endedMs: Long) {
-        val counts = countsOf(window).getOrElse { return }
-        val earlier = (window - AWAITED_WINDOWS..<window).mapNotNull { countsByWindow[it] ?: countsOf(it).getOrNull() }
-        countsByWindow[window] = counts
-        val isWhole = counts.isWhole(earlier)
-        if (!isWhole && endedMs < bounds.usageLateMs - LATE_MARGIN_MS) return
-        val authority = lease.authority() ?: return
-        val sum = frozenWindows.freeze(window, authority) { counts.sum() } ?: return
-        deliver(window, sum, endedMs, "processes" to counts.byProcess.size, "isWhole" to isWhole)
-    }
-
-    private fun deliver(window: Long, counts: Map<String, Long>, endedMs: Long, vararg details: Pair<String, Any>) {
-        val authority = lease.authority()?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
-        reporting.deliver(window, counts, process.substringBefore('#'), authority.epoch).fold(
-            { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
-            {
-                deliveredWindows += window
-                logger.event(
-                    LogEvent.WINDOW_SENT,
-                    "window" to window,
-                    "counts" to counts,
-                    "era" to era.current,
-                    "epoch" to authority.epoch,
-                    "endedMs" to endedMs,
-                    *details,
-                )
-            },
-        )
-    }
-
-    private fun countsOf(window: Long): Either<TableFailure, WindowCounts> =
-        tables.scan(COUNT_TABLE, prefix = "${windowKey(window)}/").map { rows ->
-            WindowCounts(rows.mapNotNull { row -> countOf(row)?.let { processOf(row) to it } }.toMap())
-        }
-
-    private fun processOf(row: Row): String = row.key.key.substringAfter('/')
-
-    private fun countOf(row: Row): ProcessCount? =
-        runCatching { RowJson.decode<ProcessCount>(row.value) }
-            .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "count", "row" to row.key.key) }
-            .getOrNull()
-
-    private fun rowKey(window: Long): RowKey = RowKey(COUNT_TABLE, "${windowKey(window)}/$process")
-
     private fun <T : Any> onLoop(task: () -> T): T? =
         runCatching { serving.loop.submit(task).get(LOOP_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
             .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "loop", "cause" to it.toString()) }
             .getOrNull()
 
     private companion object {
-        const val COUNT_TABLE = "usage-count"
-
         /** Time between two steps; delays the take-over of an expired lease by at most this much. */
         const val PERIOD_MS = 500L
 
@@ -331,20 +250,12 @@
         /** Smallest number of past windows that may still be due, however long a window is. */
         const val MIN_LOOK_BACK_WINDOWS = 3L
 
-        /** Preceding windows whose processes are awaited, so that one cut off from the store for two is noticed. */
-        const val AWAITED_WINDOWS = 2L
-
         /** After a drill, the rows of this many windows may be those of a part of the processes. */
         const val WINDOWS_AFTER_DRILL = 2L
 
         /** Windows that are kept in addition to those that may still be due. */
         const val KEPT_WINDOWS = 5L
 
-        /** Rows of a window are closed within [PUBLISH_EVERY_MS] of its end; the rest covers a slow store. */
-        const val SETTLE_MS = 2_300L
-
-        /** This long before it is late, a window is sent with the rows that exist; a take-over needs about as long. */
-        const val LATE_MARGIN_MS = 4_000L
         const val LOOP_TIMEOUT_MS = 2_000L
 
         /** Timeout of the slowest outward call, the delivery of a report. */
