Take the time of a drill after the store's era is read, not before

Found by reading. A process that is suspended between the two reads saw the new era with a time from before the drill, and could write it as the beginning of the era. Windows whose sum was lost then counted as never summed up, and could be reported again with other counts. The era is now read first, so that the time can only be too late, which leaves out more. Not reproduced: the suspension would have to fall between two statements.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/DrillRecovery.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/DrillRecovery.kt
@@ -40,11 +40,11 @@
      * Notices a new era, and writes what was lost in it. Returns true once after each rise, when the counts of this
      * process must be published again.
      *
+     * @param current the era of the store, read before [nowMs], so that it began before that.
      * @param nowMs the monotonic clock.
      * @param offsetMs the shared clock minus the monotonic clock.
      */
-    fun follow(nowMs: Long, offsetMs: Long): Boolean {
-        val current = era.current ?: return false
+    fun follow(current: Long, nowMs: Long, offsetMs: Long): Boolean {
         val isNew = current != followedEra
         val hasRisen = isNew && followedEra != null
         if (isNew) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -124,8 +124,9 @@
             }
             return
         }
+        val currentEra = era.current
         val nowMs = time.monotonicMs()
-        followEra(usage.offsetMs!!, nowMs)
+        if (currentEra != null) followEra(currentEra, usage.offsetMs!!, nowMs)
         if (nowMs >= nextPublishAtMs) {
             publish(usage, nowMs, isClosing = false)
             nextPublishAtMs = nowMs + PUBLISH_EVERY_MS
@@ -143,8 +144,8 @@
     }
 
     /** After a drill of the store, publishes all counts again that may be lost, in addition to what is due. */
-    private fun followEra(offsetMs: Long, nowMs: Long) {
-        if (!drill.follow(nowMs, offsetMs)) return
+    private fun followEra(currentEra: Long, offsetMs: Long, nowMs: Long) {
+        if (!drill.follow(currentEra, nowMs, offsetMs)) return
         published.clear()
         nextPublishAtMs = minOf(nextPublishAtMs, nowMs + jitter.spread(PUBLISH_AGAIN_MS / 2, nowMs))
     }
