Try again if the store does not confirm the offset of the shared clock after a drill

Found by reading. A refused or lost write of the offset counted as done: USAGE_RECOVERED was logged, nobody wrote the row again in that era, and the next process to start numbered its windows by its own wall clock. The step is now repeated until the row is there, like the other writes of the recovery. Not reproduced by a test.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -49,7 +49,8 @@
      * Writes the offset again if a drill of the store has lost it or set the store's clock back.
      *
      * @param offsetMs the shared clock minus the monotonic clock, as this process knows it.
-     * @return the same as the rows give it if that is more, else [offsetMs]; null if the store does not answer.
+     * @return the same as the rows give it if that is more, else [offsetMs]; null if the store does not answer, or does
+     * not confirm the write.
      */
     fun restore(offsetMs: Long): Long? {
         val sample = sample() ?: return null
@@ -57,8 +58,8 @@
         val agreedMs = row?.value?.toLongOrNull()?.plus(sample.storeMinusMonotonicMs)
         if (agreedMs != null && agreedMs > offsetMs - GREATEST_DIFFERENCE_MS) return maxOf(agreedMs, offsetMs)
         val write = Write(KEY, "${offsetMs - sample.storeMinusMonotonicMs}")
-        tables.transact(Transaction(listOf(Condition(KEY, row?.version ?: Condition.ABSENT)), listOf(write)))
-        return offsetMs
+        val transaction = Transaction(listOf(Condition(KEY, row?.version ?: Condition.ABSENT)), listOf(write))
+        return tables.transact(transaction).fold({ null }, { offsetMs })
     }
 
     private fun sample(): StoreClockSample? {
