Drop a list of processes that was read over a drill of the store

Found by reading. The era was compared before the read only, so that a read whose answer was the first of a new era was taken as the list of all processes, although rows of the lost seconds are missing in it. Until two windows after the next one, this process divided the slack of the retry budgets by too few. Such a read is now dropped; the next step sees the new era and waits. Not reproduced by a test.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -193,6 +193,7 @@
         }
         nextProcessesReadAtMs = nowMs + PUBLISH_EVERY_MS
         countsOf(current - 1).onRight { counts ->
+            if (era.current != processesEra) return
             processesReadInWindow = current
             nextProcessesReadAtMs = nowMs
             processes = counts.continuing
