Forward an event as soon as it ends, whatever ends its lines

What callers saw: no event of a stream before its end, if the upstream ends its lines with carriage returns alone, and 502 if that stream broke. Such a stream could not be resumed either. Cause: EventSplitter knew the empty lines LF LF and LF CR LF only, and searched them anew in all that was pending. Evidence: the test failed before with "lines end with \r ==> expected: <[1, 2]> but was: <[]>". Change: each byte is read once, with the three line ends of the event stream format; a line feed that follows the carriage return of an event's end goes out with that event or after it. Ruled out by the same new tests, which passed before: plain answers and streams without length or chunks that end in order, with and without a Connection header, of HTTP/1.0 and without a body are complete, and reset ones are not.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -6,11 +6,20 @@
 /**
  * Splits a stream into complete events, so that a caller never receives a part of an event whose rest may be lost.
  *
- * Keeps the last event id that it returned, after which another upstream can resume the stream.
+ * A line ends with a line feed, a carriage return, or both; an empty line ends an event. Keeps the last event id that
+ * it returned, after which another upstream can resume the stream.
  */
 internal class EventSplitter {
     private val pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
 
+    /** Offset in [pending] of the first byte that has not been read. */
+    private var position = 0
+
+    /** Offset in [pending] of the line that is being read. */
+    private var lineStart = 0
+    private var isAfterCarriageReturn = false
+    private var isAfterEvent = false
+
     /** The last event id that was returned, or null before the first. */
     var lastEventId: Long? = null
         private set
@@ -21,54 +30,60 @@
     /** Appends [bytes] and returns all complete events, or null if there is none. */
     fun append(bytes: ByteBuf): ByteBuf? {
         pending.writeBytes(bytes)
-        val end = endOfLastEvent()
-        if (end < 0) return null
-        val events = pending.readBytes(end - pending.readerIndex())
+        var end = 0
+        while (position < pendingBytes) {
+            val endsEvent = read(pending.getByte(pending.readerIndex() + position))
+            position++
+            if (endsEvent) end = position
+        }
+        if (end == 0) return null
+        val events = pending.readBytes(end)
         pending.discardReadBytes()
+        position -= end
+        lineStart -= end
         lastEventId = lastIdIn(events) ?: lastEventId
         return events
     }
 
     /** Returns the bytes that are left at the end of a stream, or null if there are none. */
-    fun takeRemainder(): ByteBuf? = if (pending.isReadable) pending.readBytes(pending.readableBytes()) else null
+    fun takeRemainder(): ByteBuf? = if (pending.isReadable) pending.readBytes(pendingBytes) else null
 
     /** Discards a partial event before the stream is resumed at another upstream. */
     fun discardPending() {
         pending.clear()
+        position = 0
+        lineStart = 0
+        isAfterCarriageReturn = false
+        isAfterEvent = false
     }
 
     fun release() {
         pending.release()
     }
 
-    private fun endOfLastEvent(): Int {
-        var i = pending.writerIndex() - 1
-        while (i > pending.readerIndex()) {
-            if (pending.getByte(i) == LINE_FEED && endsBlankLine(i)) return i + 1
-            i--
-        }
-        return -1
+    /** Reads [byte] at [position]; returns true if an event ends with it. */
+    private fun read(byte: Byte): Boolean {
+        val endsPair = byte == LINE_FEED && isAfterCarriageReturn
+        isAfterCarriageReturn = byte == CARRIAGE_RETURN
+        if (!endsPair) isAfterEvent = isLineEnd(byte) && position == lineStart
+        if (isLineEnd(byte)) lineStart = position + 1
+        return isAfterEvent
     }
 
-    private fun endsBlankLine(index: Int): Boolean {
-        val before = pending.getByte(index - 1)
-        if (before == LINE_FEED) return true
-        return before == CARRIAGE_RETURN &&
-            index - 2 >= pending.readerIndex() &&
-            pending.getByte(index - 2) == LINE_FEED
-    }
+    private fun isLineEnd(byte: Byte): Boolean = byte == LINE_FEED || byte == CARRIAGE_RETURN
 
     private fun lastIdIn(events: ByteBuf): Long? {
         val text = events.toString(Charsets.ISO_8859_1)
         val start = text.lastIndexOf(ID_FIELD)
-        if (start < 0 || (start > 0 && text[start - 1] != '\n')) return null
-        return text.substring(start + ID_FIELD.length).substringBefore('\n').trim().toLongOrNull()
+        if (start < 0 || (start > 0 && text[start - 1] !in LINE_ENDS)) return null
+        return text.substring(start + ID_FIELD.length).takeWhile { it !in LINE_ENDS }.trim().toLongOrNull()
     }
 
     private companion object {
         const val INITIAL_BYTES = 1_024
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val LINE_ENDS = "\r\n"
         const val ID_FIELD = "id:"
     }
 }
