Treat a stream that ends inside an event as broken off

What callers saw: the beginning of an event at the end of a stream that looked complete, where the upstream had ended its answer in order, by closing the connection or with the last chunk, inside an event. A resumable stream did not go on. Cause: Relay.end passed on what was left in the splitter and ended the caller's stream, as if the end of the body were that of the last event. Comments and empty lines at the end are passed on.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -70,6 +70,7 @@
     override fun onEnd() {
         if (isDiscarding) return
         val status = head?.status ?: return
+        if (relay.endsInsideEvent) return onFailure(AttemptFailure.STREAM_BROKEN_OFF, wasSent = true)
         tracker.runStarted()
         account { tracker.ended(isSuccess = status < FIRST_SERVER_ERROR) }
         relay.end()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -20,6 +20,10 @@
     private var isAfterCarriageReturn = false
     private var isAfterEvent = false
 
+    /** True if a line of an event, not a comment, has begun and the event's end has not arrived. */
+    var isInsideEvent = false
+        private set
+
     /** The last event id that was returned, or null before the first. */
     var lastEventId: Long? = null
         private set
@@ -55,6 +59,7 @@
         lineStart = 0
         isAfterCarriageReturn = false
         isAfterEvent = false
+        isInsideEvent = false
     }
 
     fun release() {
@@ -66,6 +71,8 @@
         val endsPair = byte == LINE_FEED && isAfterCarriageReturn
         isAfterCarriageReturn = byte == CARRIAGE_RETURN
         if (!endsPair) isAfterEvent = isLineEnd(byte) && position == lineStart
+        if (position == lineStart && !isLineEnd(byte) && byte != COMMENT) isInsideEvent = true
+        if (isAfterEvent) isInsideEvent = false
         if (isLineEnd(byte)) lineStart = position + 1
         return isAfterEvent
     }
@@ -84,6 +91,7 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val LINE_ENDS = "\r\n"
+        const val COMMENT = ':'.code.toByte()
         const val ID_FIELD = "id:"
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -33,6 +33,9 @@
     /** True if another upstream can continue: nothing was sent to the caller yet, or an event id was. */
     val canResume: Boolean get() = !hasBegun || lastEventId != null
 
+    /** True if the stream has ended although its last event has not. */
+    val endsInsideEvent: Boolean get() = splitter?.isInsideEvent == true
+
     val isCallerWritable: Boolean get() = caller.isWritable
 
     /** Starts an answer with [head]; after an interruption, continues the stream that was begun before. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -38,6 +38,9 @@
     CONNECTION_LOST,
     UNREADABLE_ANSWER,
 
+    /** The answer's body is complete, but the stream of events in it ends inside an event. */
+    STREAM_BROKEN_OFF,
+
     /** The upstream said that it wants no more work while the connection to it was being opened. */
     WORK_NOT_ACCEPTED,
 }
