Resume a stream after its last event also if data contains "id:"

What callers saw: a resumable stream that broke after an event whose data contains "id:" was reset instead of gone on. By reading, if an earlier part of it had brought an id, the stream went on after that one, and events came twice. Cause: EventSplitter took the last "id:" of a part of the stream, and no id at all if that was not at the beginning of a line. Evidence: the test failed before with "expected: <([1, 2, 3, 4], true)> but was: <([1, 2], false)>". Change: the id is read from the last line that begins with the field's name.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -79,18 +79,16 @@
 
     private fun isLineEnd(byte: Byte): Boolean = byte == LINE_FEED || byte == CARRIAGE_RETURN
 
-    private fun lastIdIn(events: ByteBuf): Long? {
-        val text = events.toString(Charsets.ISO_8859_1)
-        val start = text.lastIndexOf(ID_FIELD)
-        if (start < 0 || (start > 0 && text[start - 1] !in LINE_ENDS)) return null
-        return text.substring(start + ID_FIELD.length).takeWhile { it !in LINE_ENDS }.trim().toLongOrNull()
-    }
+    private fun lastIdIn(events: ByteBuf): Long? =
+        events.toString(Charsets.ISO_8859_1).split(*LINE_ENDS).asReversed().firstNotNullOfOrNull { line ->
+            if (line.startsWith(ID_FIELD)) line.substring(ID_FIELD.length).trim().toLongOrNull() else null
+        }
 
     private companion object {
         const val INITIAL_BYTES = 1_024
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
-        const val LINE_ENDS = "\r\n"
+        val LINE_ENDS = charArrayOf('\r', '\n')
         const val COMMENT = ':'.code.toByte()
         const val ID_FIELD = "id:"
     }
