Refuse requests with prompt parts that crash engines

Cause: failures were kept by engine only; nothing looked for what the failed requests had in common, and processes did not tell each other. Now each process refuses requests with a part under which three starts of engines crashed without a complete answer (2013, as not run), tells the others by datagram, repeats it while it matters, and is corrected by any process that had an answer on the part. A request that has met two crashes under a suspected part gets no third engine.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/config/Route.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/config/Route.kt
@@ -1,5 +1,7 @@
 package org.medlarhook.core.serving.config
 
+import kotlin.random.Random
+
 /**
  * A route of the configuration.
  *
@@ -27,6 +29,14 @@
 ) {
     /** True if a request that may have run may be sent to another upstream. */
     val mayRunAgain: Boolean get() = kind == CallKind.IDEMPOTENT || (kind == CallKind.STREAM && isResumable)
+
+    /** Draws one of the services by weight. */
+    public fun drawService(random: Random): String {
+        if (targets.size == 1) return targets[0].service
+        var point = random.nextInt(targets.sumOf { it.weight }.coerceAtLeast(1))
+        return targets.firstOrNull { target -> (point < target.weight).also { point -= target.weight } }?.service
+            ?: targets.last().service
+    }
 }
 
 /** A service and its share of a route's requests. */
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -65,4 +65,8 @@
     UPSTREAM_LIMITS(618, "Upstream limits the requests of all processes together"),
     UPSTREAM_LIMIT_ENDED(619, "Upstream does not limit its requests any more"),
     UPSTREAM_LIMIT_MALFORMED(620, "Upstream named a malformed limit; it is ignored"),
+    PROMPT_PART_SUSPECTED(621, "Engines crashed under a prompt part; a request that meets two crashes is not retried"),
+    PROMPT_PART_QUARANTINED(622, "Prompt part crashes engines; requests with it are refused"),
+    PROMPT_PART_CLEARED(623, "Prompt part had a complete answer, or other parts explain the crashes under it"),
+    PROMPT_PART_REFUSED(624, "Requests refused for a quarantined prompt part"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -17,6 +17,8 @@
     private var isAccounted = false
     private var isDiscarding = false
     private var head: UpstreamHead? = null
+    private var framing = BodyFraming.LENGTH
+    private var bodyReads = 0
 
     override fun onSent() {
         exchange.attemptSent()
@@ -24,6 +26,7 @@
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
+        this.framing = framing
         tracker.headReceived(head)
         when {
             head.isNotRun || head.isMisdirected -> {
@@ -60,6 +63,7 @@
 
     override fun onBody(bytes: ByteBuf) {
         if (isDiscarding) return
+        bodyReads++
         if (head?.isStream == true) tracker.firstTokenReceived() else tracker.runStarted()
         val isKept = relay.body(bytes)
         if (relay.hasBegun) exchange.eventsDelivered()
@@ -71,13 +75,24 @@
         if (isDiscarding) return
         val status = head?.status ?: return
         tracker.runStarted()
+        observeEnd(status)
         account { tracker.ended(isSuccess = status < FIRST_SERVER_ERROR) }
         relay.end()
         exchange.answered(status)
     }
 
+    /** A crash also ends an answer that ends with its connection; it happens as the answer begins. */
+    private fun observeEnd(status: Int) {
+        if (status !in SUCCESSES) return
+        when {
+            framing != BodyFraming.CONNECTION_CLOSE || bodyReads >= MIN_READS_OF_ANSWER -> tracker.answerCompleted()
+            bodyReads == 0 -> tracker.connectionLost()
+        }
+    }
+
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         if (isDiscarding) return
+        if (reason == AttemptFailure.CONNECTION_LOST && wasSent) tracker.connectionLost()
         account { if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent) }
         relay.interrupted()
         exchange.attemptFailed(reason, wasSent)
@@ -95,5 +110,9 @@
 
     private companion object {
         const val FIRST_SERVER_ERROR = 500
+        val SUCCESSES = 200..299
+
+        /** A crashing engine gets no further than its first events. */
+        const val MIN_READS_OF_ANSWER = 3
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -79,6 +79,12 @@
         }
     }
 
+    /** Records that the upstream closed the connection before its answer was complete. */
+    fun connectionLost() = serving.crashes.connectionLost(demand, upstream)
+
+    /** Records that the upstream has answered in full, so that it did not crash under the request. */
+    fun answerCompleted() = serving.crashes.answered(demand)
+
     private fun decodeObserved(nowMs: Long) {
         val tokens = demand.generation?.outputTokens ?: return
         val decodeMs = (nowMs - firstTokenAtMs).toDouble()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -9,6 +9,7 @@
 import org.medlarhook.core.serving.resume.StreamOrigin
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
+import org.medlarhook.serving.upstream.RequestPermits
 import java.util.concurrent.Future
 
 /**
@@ -30,12 +31,13 @@
     private var deadline: Future<*>? = null
     private val tried = LinkedHashSet<String>()
     private var attemptsSent = 0
+    private var crashesMet = 0
     private var possibleRuns = 0
     private var mayHaveRun = false
     private var hasRunStarted = false
     private var placed: Placement.Chosen? = null
     private var placedAtMs = 0L
-    private var permits = serving.newPermits()
+    private lateinit var permits: RequestPermits
     private var isDone = false
     private val record = serving.nowMs().let { nowMs ->
         ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
@@ -100,6 +102,7 @@
 
     private fun place(hasWaited: Boolean = false) {
         val nowMs = serving.nowMs()
+        if (serving.crashes.refuses(demand)) return refuseQuarantined(nowMs)
         when (val placement = serving.place(demand, tried, hasWaited, nowMs)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
             is Placement.NoCapacity -> refuseIfNotRun(
@@ -114,6 +117,12 @@
         }
     }
 
+    /** A retry before the caller's deadline is most useful at its end, when the quarantine may have been lifted. */
+    private fun refuseQuarantined(nowMs: Long) {
+        val retryAfterMs = serving.retryAfterMs(demand, Placement.AllClosed(Long.MAX_VALUE), nowMs)
+        refuseIfNotRun(ResultCode.PROMPT_PART_QUARANTINED, retryAfterMs)
+    }
+
     /** Places the request again once an upstream opens, or refuses it at once if that is too late. */
     private fun awaitReopening(placement: Placement.AllClosed, nowMs: Long) {
         handle = null
@@ -124,7 +133,7 @@
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
         placed = chosen
         placedAtMs = nowMs
-        permits = serving.newPermits()
+        permits = serving.newPermits(demand)
         listOfNotNull(chosen.prefill, chosen.upstream).forEach { permits.claim(it) }
         if (chosen.prefill == null) send(chosen, AttemptStep.Whole, nowMs) else prefill(chosen, chosen.prefill!!, nowMs)
     }
@@ -229,6 +238,7 @@
     /** Handles an attempt without a complete answer: retries it if it was not sent or its route allows a second run. */
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
+        if (reason == AttemptFailure.CONNECTION_LOST && wasSent) crashesMet++
         if (isDone) return
         when {
             !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
@@ -268,6 +278,7 @@
             attemptsSent < MAX_ATTEMPTS_SENT &&
             demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
             serving.endsBeforeShutdown(demand, nowMs) &&
+            !serving.crashes.forbidsRetry(demand, crashesMet) &&
             serving.hasUntriedUpstream(demand, tried, nowMs) &&
             serving.withdrawRetry(demand.service, nowMs)
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -9,6 +9,7 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.crash.PromptCrashLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -25,6 +26,9 @@
 ) {
     private val timers = HashMap<String, Timer>()
 
+    /** Logs what is concluded about prompt parts under which engines crash. */
+    val crashes = PromptCrashLog(registry, isQuiet)
+
     fun finished(
         record: ExchangeRecord,
         outcome: Outcome,
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -4,7 +4,6 @@
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
 import org.medlarhook.core.result.ResultCode
-import org.medlarhook.core.serving.config.Route
 import org.medlarhook.core.serving.config.ServingConfig
 import org.medlarhook.core.serving.fleet.EngineStage
 import org.medlarhook.core.serving.fleet.Incarnation
@@ -25,6 +24,7 @@
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
+import org.medlarhook.serving.crash.PromptCrashes
 import org.medlarhook.serving.peer.LimitReport
 import org.medlarhook.serving.process.ServingBounds
 import org.medlarhook.serving.upstream.RequestPermits
@@ -54,6 +54,9 @@
     val availability = UpstreamAvailability(time, random, log)
     val pool = UpstreamPool(loop, format, time, availability)
     val origins = StreamOrigins(time) { observeClocks() }
+
+    /** The prompt parts under which engines crash. */
+    val crashes = PromptCrashes(time, log.crashes, ::isLeaving) { delayMs, task -> schedule(nowMs() + delayMs, task) }
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var retryBudgets: PersistentMap<String, WindowedRetryBudget> = persistentMapOf()
@@ -158,9 +161,14 @@
         observeClocks()
         registry = registry.expire(nowMs())
         origins.prune()
+        crashes.tick()
         dropUnregistered()
     }
 
+    /** True if the end of [upstream] was announced, or its registration was removed. */
+    private fun isLeaving(upstream: Upstream): Boolean =
+        availability.isLeaving(upstream.incarnation) || registry.find(upstream.id)?.isDraining != false
+
     /** Counts a request as in flight, and admits it or refuses it by its route and key. */
     fun admit(call: CallerCall): Admission {
         inFlight++
@@ -177,7 +185,7 @@
                 current.workspaceByKey!![key] ?: return Admission.Refused(ResultCode.KEY_INVALID, null)
             }
         val waitMs = minOf(call.remainingMs ?: route.timeoutMs, route.timeoutMs)
-        val service = chooseService(route)
+        val service = route.drawService(random)
         retryBudgets = retryBudgets.put(service, retryBudgetOf(service).requested(atMs))
         val demand =
             Demand(
@@ -246,8 +254,8 @@
         return true
     }
 
-    /** The turns that an attempt claims at upstreams that limit their requests. */
-    fun newPermits(): RequestPermits = RequestPermits(availability)
+    /** The turns that an attempt of [demand] claims at upstreams that limit their requests. */
+    fun newPermits(demand: Demand): RequestPermits = RequestPermits(availability) { !crashes.isQuarantined(demand) }
 
     /** Records the limit of an upstream that another process has told of. */
     fun limitReported(report: LimitReport) {
@@ -324,7 +332,7 @@
 
     /** Frees the cache that [upstream] keeps under [cacheHandle], or lets it expire if that takes no request now. */
     fun releaseCache(upstream: Upstream, cacheHandle: String) {
-        val permits = newPermits()
+        val permits = RequestPermits(availability)
         if (!permits.claim(upstream)) return
         val request = format.cacheReleaseRequest(upstream, cacheHandle)
         val release = pool.send(upstream, null, request, mayRunAgain = true, permits, NoOpAttemptListener())
@@ -353,14 +361,6 @@
         log.finished(record, outcome, config?.version, configFreshness.confirmedAtMs, nowMs())
     }
 
-    private fun chooseService(route: Route): String {
-        val targets = route.targets
-        if (targets.size == 1) return targets[0].service
-        var point = random.nextInt(targets.sumOf { it.weight }.coerceAtLeast(1))
-        return targets.firstOrNull { target -> (point < target.weight).also { point -= target.weight } }?.service
-            ?: targets.last().service
-    }
-
     private fun retryBudgetOf(service: String): WindowedRetryBudget =
         retryBudgets[service] ?: WindowedRetryBudget(
             bounds.repeatRatio,
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -16,6 +16,12 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.crash.CrashPeers
+import org.medlarhook.serving.crash.CrashReport
+import org.medlarhook.serving.crash.CrashedPart
+import org.medlarhook.serving.crash.EngineCrash
+import org.medlarhook.serving.crash.PromptCrashes
+import org.medlarhook.serving.crash.SoundPart
 import java.net.InetSocketAddress
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -30,6 +36,7 @@
  * [ANSWER_TIMEOUT_MS], and a process that misses a limit learns it from the upstream's next answer.
  *
  * @param onLimit called with each limit that another process has told of.
+ * @param crashes exchanges with the other processes which prompt parts crash engines.
  */
 internal class DatagramPeers(
     private val loop: EventLoop,
@@ -37,7 +44,8 @@
     private val listener: PeerListener,
     private val time: TimeSource,
     private val onLimit: (LimitReport) -> Unit,
-) : StreamPeers, LimitPeers {
+    private val crashes: PromptCrashes,
+) : StreamPeers, LimitPeers, CrashPeers {
     @Volatile
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
@@ -63,6 +71,7 @@
                 .handler(Receiver())
                 .bind(address.host, address.port)
                 .awaitUninterruptibly()
+        loadSerializers()
         if (bound.isSuccess) {
             channel = bound.channel()
         } else {
@@ -70,12 +79,22 @@
         }
     }
 
+    /** The first message would otherwise hold up the event loop while classes are loaded. */
+    private fun loadSerializers() {
+        val crashed = CrashedPart("part", listOf(EngineCrash("engine", 0, 0)))
+        val sample = PeerMessage.CrashesReported(CrashReport(listOf(crashed), listOf(SoundPart("part", 0))))
+        RowJson.decode<PeerMessage>(RowJson.encode<PeerMessage>(sample))
+    }
+
     /** The address at which this process can be reached, or null if the socket could not be opened. */
     val boundAddress: Endpoint? get() = address.takeIf { channel != null }
 
     /** Sets the addresses of all serving processes; this one is left out. */
     fun update(addresses: Collection<Endpoint>) {
+        val known = peers.toSet()
         peers = addresses.filter { it != address }.map { InetSocketAddress(it.host, it.port) }
+        val newcomers = peers.filter { it !in known }
+        if (newcomers.isNotEmpty()) sendInParts(crashes.greeting(), newcomers)
     }
 
     override fun tell(stream: BegunStream) {
@@ -86,6 +105,18 @@
 
     override fun tell(report: LimitReport) = peers.forEach { send(PeerMessage.LimitChanged(report), it) }
 
+    override fun tell(report: CrashReport) = sendInParts(report, peers)
+
+    override fun tellSome(report: CrashReport) = sendInParts(report, peers.shuffled().take(REPEATS))
+
+    private fun sendInParts(report: CrashReport, receivers: List<InetSocketAddress>) {
+        val crashed = report.crashed.chunked(CRASHED_PARTS_PER_MESSAGE).map { CrashReport(crashed = it) }
+        val sound = report.sound.chunked(SOUND_PARTS_PER_MESSAGE).map { CrashReport(sound = it) }
+        val question = if (report.isQuestion) listOf(CrashReport(isQuestion = true)) else emptyList()
+        val messages = (crashed + sound + question).map { PeerMessage.CrashesReported(it) }
+        receivers.forEach { receiver -> messages.forEach { send(it, receiver) } }
+    }
+
     private fun tellAll() {
         val byHolder =
             untold.flatMap { stream ->
@@ -129,6 +160,7 @@
                 send(PeerMessage.OriginAnswer(message.number, listener.originOf(message.stream)), sender)
             is PeerMessage.OriginAnswer -> answered(message)
             is PeerMessage.LimitChanged -> onLimit(message.report)
+            is PeerMessage.CrashesReported -> crashes.told(message.report)?.let { sendInParts(it, listOf(sender)) }
         }
     }
 
@@ -165,6 +197,13 @@
         /** Keeps a datagram below the usual packet size of 1,500 bytes with identifiers of the greatest length. */
         const val STREAMS_PER_MESSAGE = 4
 
+        /** Keep a datagram below the same size with identifiers as long as those of the platform. */
+        const val CRASHED_PARTS_PER_MESSAGE = 2
+        const val SOUND_PARTS_PER_MESSAGE = 12
+
+        /** Processes to which evidence of crashes is repeated each time. */
+        const val REPEATS = 3
+
         /** Unreadable messages are logged once in this time. */
         const val LOG_INTERVAL_MS = 1_000L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
@@ -3,8 +3,9 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.medlarhook.core.serving.resume.BegunStream
+import org.medlarhook.serving.crash.CrashReport
 
-/** What serving processes tell each other about streams and limits, one JSON document a datagram. */
+/** What serving processes tell each other about streams, limits and crashes, one JSON document a datagram. */
 @Serializable
 internal sealed interface PeerMessage {
     /** Streams that have begun at the sender, or of which it was told. */
@@ -36,6 +37,13 @@
     data class LimitChanged(
         val report: LimitReport,
     ) : PeerMessage
+
+    /** Prompt parts under which engines crash or have answered. */
+    @Serializable
+    @SerialName("crash")
+    data class CrashesReported(
+        val report: CrashReport,
+    ) : PeerMessage
 }
 
 /**
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -54,7 +54,7 @@
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
     private val peers = settings.peer?.let {
-        DatagramPeers(serving.loop, it, serving.origins, time, serving::limitReported)
+        DatagramPeers(serving.loop, it, serving.origins, time, serving::limitReported, serving.crashes)
     }
     private val feeds = Feeds(ports.store, ports.era, serving, time)
     private val usageReporter =
@@ -93,6 +93,7 @@
             serving.loop.execute {
                 serving.origins.peers = it
                 serving.availability.peers = it
+                serving.crashes.peers = it
             }
         }
         status.start()
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingStateDump.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingStateDump.kt
@@ -35,6 +35,7 @@
                     }
                 }
             }
+            putJsonArray("quarantinedPromptParts") { serving.crashes.quarantinedParts.forEach { add(it) } }
             putJsonArray("usageWindows") { serving.usage.counts.keys.sorted().forEach { add(it) } }
         }.toString()
     }
