--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -43,4 +43,8 @@
 
     /** The upstream said that it wants no more work while the connection to it was being opened. */
     WORK_NOT_ACCEPTED,
+    ;
+
+    /** True if the answer ended too soon, as it does if the upstream crashes. */
+    val isBrokenOff: Boolean get() = this == CONNECTION_LOST || this == STREAM_BROKEN_OFF
 }
