Don't compare clocks by a call during which the process was suspended

A process that is suspended for some seconds in that call is wrong by half of that for as long as it runs, more than the second by which clocks may differ for SumPermission: it could form a sum so early that another process would not know, after a drill, that there was one. Such a sample is dropped now and taken again in the next step. Not reproduced.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/StoreClockSample.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/StoreClockSample.kt
@@ -12,6 +12,9 @@
     val sentAtMs: Long,
     val answeredAtMs: Long,
 ) {
+    /** How long the call took. */
+    public val tookMs: Long get() = answeredAtMs - sentAtMs
+
     /** The store's clock minus the monotonic clock. It is wrong by at most half of the time that the call took. */
     public val storeMinusMonotonicMs: Long get() = storeMs - (sentAtMs + answeredAtMs) / 2
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -62,10 +62,11 @@
         return tables.transact(transaction).fold({ null }, { offsetMs })
     }
 
+    /** Returns null also if the process was suspended during the call, which would make the sample wrong by as much. */
     private fun sample(): StoreClockSample? {
         val sentAtMs = time.monotonicMs()
         val storeMs = clock.readMs() ?: return null
-        return StoreClockSample(storeMs, sentAtMs, time.monotonicMs())
+        return StoreClockSample(storeMs, sentAtMs, time.monotonicMs()).takeIf { it.tookMs <= GREATEST_DIFFERENCE_MS }
     }
 
     private companion object {
@@ -74,7 +75,7 @@
         /** Processes that know the offset write it again within a second of a drill. */
         const val AWAITED_MS = 2_000L
 
-        /** More than two processes differ by, whose calls to the store took up to their timeout. */
+        /** Clocks of two processes differ by less, if neither call to the store took longer. */
         const val GREATEST_DIFFERENCE_MS = 1_000L
     }
 }
