Leave the beginning of a store's era to processes that know the clock from before

A process that has just started waits two seconds for that row now. The era is noticed from the first step on, beside the wait for the clock, and the row is read before it is written, which saves a refused transaction for each process and start. Not reproduced.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -69,13 +69,13 @@
         return StoreClockSample(storeMs, sentAtMs, time.monotonicMs()).takeIf { it.tookMs <= GREATEST_DIFFERENCE_MS }
     }
 
-    private companion object {
-        val KEY = RowKey("clock", "offset")
+    companion object {
+        private val KEY = RowKey("clock", "offset")
 
-        /** Processes that know the offset write it again within a second of a drill. */
+        /** Processes that know what a drill has lost write it again within a second; the rest covers slow calls. */
         const val AWAITED_MS = 2_000L
 
         /** Clocks of two processes differ by less, if neither call to the store took longer. */
-        const val GREATEST_DIFFERENCE_MS = 1_000L
+        private const val GREATEST_DIFFERENCE_MS = 1_000L
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -108,15 +108,16 @@
 
     private fun step() {
         val usage = onLoop { serving.usage } ?: return
+        val currentEra = era.current
+        val nowMs = time.monotonicMs()
+        if (currentEra != null) noticeEra(currentEra, nowMs)
         if (usage.offsetMs == null) {
-            sharedClock.agree(time.monotonicMs())?.let { offsetMs ->
+            sharedClock.agree(nowMs)?.let { offsetMs ->
                 onLoop { serving.updateUsage { it.withOffset(offsetMs) } }
             }
             return
         }
-        val currentEra = era.current
-        val nowMs = time.monotonicMs()
-        if (currentEra != null) followEra(currentEra, usage.offsetMs!!, nowMs)
+        drill.recover(nowMs, usage.offsetMs!!)
         if (nowMs >= nextPublishAtMs) {
             publish(usage, nowMs, isClosing = false)
             nextPublishAtMs = nowMs + PUBLISH_EVERY_MS
@@ -135,8 +136,8 @@
     }
 
     /** After a drill of the store, publishes all counts again that may be lost, in addition to what is due. */
-    private fun followEra(currentEra: Long, offsetMs: Long, nowMs: Long) {
-        if (!drill.follow(currentEra, nowMs, offsetMs)) return
+    private fun noticeEra(currentEra: Long, nowMs: Long) {
+        if (!drill.notice(currentEra, nowMs)) return
         published.clear()
         nextPublishAtMs = minOf(nextPublishAtMs, nowMs + jitter.spread(PUBLISH_AGAIN_MS / 2, nowMs))
     }
