--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
@@ -56,7 +56,8 @@
         val authority = authorityIn(eraStart) ?: return
         val sum = frozenWindows.freeze(window, authority) { null }
         if (sum != null) return deliver(window, sum, eraStart, endedMs, "writtenAgain" to true)
-        if (leftOutWindows.add(window)) {
+        val isDueSoon = endedMs >= bounds.usageLateMs - bounds.usageWindowMs
+        if (isDueSoon && leftOutWindows.add(window)) {
             logger.warnEvent(LogEvent.WINDOW_LEFT_OUT, "window" to window, "era" to eraStart.era, "endedMs" to endedMs)
         }
     }
