Let only requests of the window allow retries in it

What callers saw: nothing yet; found by RetryReplay, which plays processes without a reserve. The processes keep a quarter of the budget in reserve, which is larger than the fault.

Cause: the budget keeps one bucket more than its window, so that retries are never forgotten too early, and counted the requests of that bucket too. In any window, retries were allowed for the requests of up to half a second more.

WindowedRetryBudgetTest has the case of requests older than the window by less than a bucket.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
@@ -28,7 +28,10 @@
     /** True if the budget has a retry left at [nowMs]. */
     public fun hasLeft(nowMs: Long): Boolean {
         val recent = recent(nowMs)
-        return recent.values.sumOf { it.retries } + 1 <= recent.values.sumOf { it.requests } * ratio + slack
+        val requests = recent.entries.sumOf { (bucket, counts) ->
+            if (isInWindow(bucket, nowMs)) counts.requests else 0
+        }
+        return recent.values.sumOf { it.retries } + 1 <= requests * ratio + slack
     }
 
     /** Returns a retry that was withdrawn at [withdrawnAtMs] and not sent. */
@@ -53,6 +56,9 @@
         return expired.fold(buckets) { kept, bucket -> kept.remove(bucket) }
     }
 
+    /** True if all of [bucket] lies in the window that ends at [nowMs]. */
+    private fun isInWindow(bucket: Long, nowMs: Long): Boolean = bucket > bucketOf(nowMs) - BUCKETS_PER_WINDOW
+
     private fun bucketOf(nowMs: Long): Long = Math.floorDiv(nowMs, windowMs / BUCKETS_PER_WINDOW)
 
     /** Requests and retries in one bucket of the window. */
@@ -62,7 +68,10 @@
     )
 
     private companion object {
-        /** Buckets into which a window is divided. One bucket more than a window is kept, as a safety margin. */
+        /**
+         * Buckets into which a window is divided. One bucket more than a window is kept, because the oldest one lies partly
+         * in the window: its retries count, its requests allow none.
+         */
         const val BUCKETS_PER_WINDOW = 20L
     }
 }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/WindowedRetryBudgetTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/WindowedRetryBudgetTest.kt
@@ -31,6 +31,11 @@
         assertNull(spent.withdraw(20_000)?.withdraw(20_000))
     }
 
+    @Test
+    fun `Given requests that are older than the window by less than a bucket, then they allow no retries`() {
+        assertNull(empty.withRequests(100, 0).withdraw(10_100)?.withdraw(10_100))
+    }
+
     @Test
     fun `Given retries over many windows, then no window has more of them than its limit`() {
         var budget = empty
