Take no answer for complete whose request could not be sent whole

What callers saw: a truncated answer that looked complete, where an upstream had begun an answer without length or chunks before it had read the whole request, and then reset the connection. Cause: a failed write closes the channel without an exception event; the HTTP decoder then reports the end of the body, as it does after an orderly close, and UpstreamConnection did not know the difference. Evidence: the test failed before with "expected: <502> but was: <200>" and passes. Change: a request that was not written whole marks the connection as broken, as a failed read does.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -46,6 +46,8 @@
     private var discardedBytes = 0L
     private var skippedHeads = 0
     private var closesAfterAnswer = false
+
+    /** True if the connection has failed or its request was not sent whole; its end then completes no answer. */
     private var isBroken = false
     private var framing = BodyFraming.LENGTH
 
@@ -71,7 +73,7 @@
         discardedBytes = 0
         skippedHeads = 0
         attempt.onSent()
-        context.writeAndFlush(request)
+        context.writeAndFlush(request).addListener { if (!it.isSuccess) isBroken = true }
     }
 
     /** Closes the connection if it still serves [attempt], so that the upstream stops working on the request. */
