--- a/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
@@ -69,8 +69,8 @@
 
     private companion object {
         /**
-         * Buckets into which a window is divided. One bucket more than a window is kept, because the oldest one lies partly
-         * in the window: its retries count, its requests allow none.
+         * Buckets into which a window is divided. One bucket more than a window is kept, because the oldest one lies
+         * partly in the window: its retries count, its requests allow none.
          */
         const val BUCKETS_PER_WINDOW = 20L
     }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/RetryReplayTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/RetryReplayTest.kt
@@ -14,7 +14,7 @@
         val eachFailure = RetryReplay(RetryAccounting.EACH_FAILURE, failure, seed).play()
 
         override fun toString(): String =
-            "$failure, seed $seed: each arrival $eachArrival, prefilled again $prefilledAgain, each failure $eachFailure"
+            "$failure, seed $seed: each arrival $eachArrival, prefills again $prefilledAgain, before $eachFailure"
     }
 
     private val compared =
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -134,8 +134,8 @@
     }
 
     /**
-     * Sends the prefill to [prefillUpstream]. It does not count as a run of the request. Later attempts send the request
-     * whole, because a second prefill and its decode would be two retries.
+     * Sends the prefill to [prefillUpstream]. It does not count as a run of the request. Later attempts send the
+     * request whole, because a second prefill and its decode would be two retries.
      */
     private fun prefill(chosen: Placement.Chosen, prefillUpstream: Upstream, nowMs: Long) {
         tried += serving.prefillUpstreamIds(demand)
