--- /dev/null
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
@@ -0,0 +1,60 @@
+package org.medlarhook.serving.call
+
+import org.medlarhook.core.serving.retry.WindowedRetryBudget
+import org.medlarhook.serving.process.ServingBounds
+
+/** Keeps this process's part of the retry budget of each service. Used on the event loop only. */
+internal class RetryBudgets(
+    private var bounds: ServingBounds,
+    private val log: RequestLog,
+) {
+    private val budgets = HashMap<String, WindowedRetryBudget>()
+
+    /** The number of serving processes among which the slack of each budget is divided. */
+    var processCount = 1
+        private set
+
+    /** Divides the slack among [count] processes from now on. */
+    fun setProcessCount(count: Int) {
+        processCount = count.coerceAtLeast(1)
+        updateLimits()
+    }
+
+    /** Puts [newer] bounds in force. */
+    fun updateBounds(newer: ServingBounds) {
+        bounds = newer
+        updateLimits()
+    }
+
+    /** Counts a caller's request for [service]. */
+    fun requested(service: String, nowMs: Long) {
+        budgets[service] = budgetOf(service).requested(nowMs)
+    }
+
+    /** Takes one retry from the budget of [service], or returns false if none is left. */
+    fun withdraw(service: String, nowMs: Long): Boolean {
+        val left = budgetOf(service).withdraw(nowMs)
+        log.retry(if (left == null) RetryOutcome.REFUSED else RetryOutcome.WITHDRAWN)
+        budgets[service] = left ?: return false
+        return true
+    }
+
+    /** True if a retry is left in the budget of [service]; counts a refusal if none is. */
+    fun allows(service: String, nowMs: Long): Boolean =
+        budgetOf(service).hasLeft(nowMs).also { if (!it) log.retry(RetryOutcome.REFUSED) }
+
+    /** Returns a retry to the budget of [service] that was withdrawn at [withdrawnAtMs] and not sent. */
+    fun putBack(service: String, withdrawnAtMs: Long) {
+        budgets[service] = budgetOf(service).returned(withdrawnAtMs)
+        log.retry(RetryOutcome.RETURNED)
+    }
+
+    private fun updateLimits() {
+        budgets.replaceAll { _, budget -> budget.withLimits(bounds.repeatRatio, slackShare()) }
+    }
+
+    private fun budgetOf(service: String): WindowedRetryBudget =
+        budgets[service] ?: WindowedRetryBudget(bounds.repeatRatio, slackShare(), bounds.repeatWindowMs)
+
+    private fun slackShare(): Double = bounds.repeatSlack / processCount
+}
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -1,26 +1,16 @@
 package org.medlarhook.serving.duty
 
-import arrow.core.Either
-import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.Serializable
+import org.medlarhook.core.lease.Jitter
 import org.medlarhook.core.lease.LeaseCandidates
 import org.medlarhook.core.lease.LeaseManager
 import org.medlarhook.core.lease.LeaseScope
 import org.medlarhook.core.lease.LeaseSettings
-import org.medlarhook.core.row.RowJson
 import org.medlarhook.core.serving.limit.ProcessShare
 import org.medlarhook.core.serving.usage.ProcessCount
 import org.medlarhook.core.serving.usage.UsageWindows
-import org.medlarhook.core.serving.usage.WindowCounts
-import org.medlarhook.ports.Condition
-import org.medlarhook.ports.Row
-import org.medlarhook.ports.RowKey
-import org.medlarhook.ports.TableFailure
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
-import org.medlarhook.ports.Transaction
-import org.medlarhook.ports.Write
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
@@ -45,9 +35,9 @@
 internal class UsageReporter(
     private val process: String,
     private val serving: ServingLoop,
-    private val tables: TableService,
-    private val clock: StoreClock,
-    private val reporting: WindowReporting,
+    tables: TableService,
+    clock: StoreClock,
+    reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
     private val peer: ReportedPeer,
@@ -55,8 +45,13 @@
 ) {
     private val scope = LeaseScope("usage")
     private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time, { era.current ?: 0 })
-    private val deliveredWindows = HashSet<Long>()
-    private val countsByWindow = HashMap<Long, WindowCounts>()
+    private val sharedClock = SharedClock(tables, clock, time, era)
+    private val frozenWindows = FrozenWindows(tables, era)
+    private val drill = DrillRecovery(process, tables, era, sharedClock, frozenWindows)
+    private val counts = UsageCounts(process, tables)
+    private val reports =
+        WindowReports(process.substringBefore('#'), lease, counts, frozenWindows, reporting, bounds, time)
+    private val jitter = Jitter(FULL_SPREAD_PERCENT, process)
     private val lookBackWindows = maxOf(MIN_LOOK_BACK_WINDOWS, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, ProcessCount>()
     private var firstWindow: Long? = null
@@ -113,8 +108,15 @@
 
     private fun step() {
         val usage = onLoop { serving.usage } ?: return
-        if (usage.offsetMs == null) return agreeOnClockOffset()
+        if (usage.offsetMs == null) {
+            sharedClock.agree(time.monotonicMs())?.let { offsetMs ->
+                onLoop { serving.updateUsage { it.withOffset(offsetMs) } }
+            }
+            return
+        }
+        val currentEra = era.current
         val nowMs = time.monotonicMs()
+        if (currentEra != null) followEra(currentEra, usage.offsetMs!!, nowMs)
         if (nowMs >= nextPublishAtMs) {
             publish(usage, nowMs, isClosing = false)
             nextPublishAtMs = nowMs + PUBLISH_EVERY_MS
@@ -126,21 +128,17 @@
         readProcesses(current, usage, nowMs)
         if (isHolding && nowMs >= nextReportAtMs) {
             nextReportAtMs = nowMs + REPORT_EVERY_MS
-            (maxOf(first, current - lookBackWindows)..current - 1).forEach { report(it, usage, nowMs) }
+            val eraStart = drill.start ?: return
+            val sharedMs = usage.sharedClockMs(nowMs)!!
+            (maxOf(first, current - lookBackWindows)..current - 1).forEach { reports.report(it, eraStart, sharedMs) }
         }
     }
 
-    /** Sets the offset of the shared clock from the store's clock to the value that the first process has written. */
-    private fun agreeOnClockOffset() {
-        val begunAtMs = time.monotonicMs()
-        val storeMs = clock.readMs() ?: return
-        val ownOffsetMs = time.wallMs() - storeMs
-        val write =
-            Transaction(listOf(Condition(CLOCK_KEY, Condition.ABSENT)), listOf(Write(CLOCK_KEY, "$ownOffsetMs")))
-        tables.transact(write)
-        val agreedMs = tables.read(CLOCK_KEY).getOrNull()?.value?.toLongOrNull() ?: return
-        val monotonicAtReadMs = (begunAtMs + time.monotonicMs()) / 2
-        onLoop { serving.updateUsage { it.withOffset(agreedMs + storeMs - monotonicAtReadMs) } }
+    /** After a drill of the store, publishes all counts again that may be lost, in addition to what is due. */
+    private fun followEra(currentEra: Long, offsetMs: Long, nowMs: Long) {
+        if (!drill.follow(currentEra, nowMs, offsetMs)) return
+        published.clear()
+        nextPublishAtMs = minOf(nextPublishAtMs, nowMs + jitter.spread(PUBLISH_AGAIN_MS / 2, nowMs))
     }
 
     private fun publish(usage: UsageWindows, nowMs: Long, isClosing: Boolean) {
@@ -157,8 +155,7 @@
                 if (published[window] == next) null else window to next
             }
         if (writes.isEmpty()) return
-        val rows = writes.map { (window, row) -> Write(rowKey(window), RowJson.encode(row)) }
-        tables.transact(Transaction(emptyList(), rows)).onRight {
+        counts.publish(writes).onRight {
             published += writes
             if (firstPublishedWindow == null) firstPublishedWindow = current
             dropOldWindows(current)
@@ -168,8 +165,7 @@
     private fun dropOldWindows(current: Long) {
         val oldest = current - lookBackWindows - KEPT_WINDOWS
         published.keys.removeIf { it < oldest }
-        deliveredWindows.removeIf { it < oldest }
-        countsByWindow.keys.removeIf { it < oldest }
+        reports.forgetBefore(oldest)
         onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
     }
 
@@ -183,11 +179,12 @@
             return
         }
         nextProcessesReadAtMs = nowMs + PUBLISH_EVERY_MS
-        countsOf(current - 1).onRight { counts ->
+        counts.of(current - 1).onRight { counts ->
+            if (era.current != processesEra) return
             processesReadInWindow = current
             nextProcessesReadAtMs = nowMs
             processes = counts.continuing
-            if (processes.isNotEmpty()) onLoop { serving.setProcessCount(processes.size) }
+            if (processes.isNotEmpty()) onLoop { serving.retryBudgets.setProcessCount(processes.size) }
             onLoop { peer.onProcessesRead(counts.peers) }
             onLoop { serving.availability.share = shareIn(current, usage, nowMs) }
         }
@@ -229,86 +226,22 @@
         isHolding = holds
     }
 
-    private fun report(window: Long, usage: UsageWindows, nowMs: Long) {
-        if (window in deliveredWindows) return
-        val endedMs = usage.sharedClockMs(nowMs)!! - (window + 1) * bounds.usageWindowMs
-        if (endedMs < SETTLE_MS) return
-        val counts = countsOf(window).getOrElse { return }
-        val earlier = (window - AWAITED_WINDOWS..<window).mapNotNull { countsByWindow[it] ?: countsOf(it).getOrNull() }
-        countsByWindow[window] = counts
-        val isWhole = counts.isWhole(earlier)
-        if (!isWhole && endedMs < bounds.usageLateMs - LATE_MARGIN_MS) return
-        val frozenWindow = freeze(window, counts.sum()) ?: return
-        val authority = lease.authority()?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
-        reporting.deliver(window, frozenWindow.counts, process.substringBefore('#'), authority.epoch).fold(
-            { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
-            {
-                deliveredWindows += window
-                logger.event(
-                    LogEvent.WINDOW_SENT,
-                    "window" to window,
-                    "counts" to frozenWindow.counts,
-                    "endedMs" to endedMs,
-                    "processes" to counts.byProcess.size,
-                    "isWhole" to isWhole,
-                )
-            },
-        )
-    }
-
-    /** Writes the sum of [window] unless it exists, on the condition that the lease is still held, and returns it. */
-    private fun freeze(window: Long, counts: Map<String, Long>): FrozenWindow? {
-        val authority = lease.authority() ?: return null
-        val key = RowKey(FROZEN_TABLE, windowKey(window))
-        val existing = tables.read(key).getOrElse { return null }
-        val frozenWindow = existing?.let { RowJson.decode<FrozenWindow>(it.value) } ?: FrozenWindow(counts)
-        val version = existing?.version ?: Condition.ABSENT
-        val write =
-            Transaction(
-                listOf(authority.condition(), Condition(key, version)),
-                listOf(Write(key, RowJson.encode(frozenWindow))),
-            )
-        return tables.transact(write).fold({ null }, { frozenWindow })
-    }
-
-    private fun countsOf(window: Long): Either<TableFailure, WindowCounts> =
-        tables.scan(COUNT_TABLE, prefix = "${windowKey(window)}/").map { rows ->
-            WindowCounts(rows.mapNotNull { row -> countOf(row)?.let { processOf(row) to it } }.toMap())
-        }
-
-    private fun processOf(row: Row): String = row.key.key.substringAfter('/')
-
-    private fun countOf(row: Row): ProcessCount? =
-        runCatching { RowJson.decode<ProcessCount>(row.value) }
-            .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "count", "row" to row.key.key) }
-            .getOrNull()
-
-    private fun rowKey(window: Long): RowKey = RowKey(COUNT_TABLE, "${windowKey(window)}/$process")
-
-    private fun windowKey(window: Long): String = window.toString().padStart(WINDOW_DIGITS, '0')
-
     private fun <T : Any> onLoop(task: () -> T): T? =
         runCatching { serving.loop.submit(task).get(LOOP_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
             .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "loop", "cause" to it.toString()) }
             .getOrNull()
 
-    @Serializable
-    private data class FrozenWindow(
-        val counts: Map<String, Long>,
-    )
-
     private companion object {
-        const val COUNT_TABLE = "usage-count"
-        const val FROZEN_TABLE = "usage-window"
-        val CLOCK_KEY = RowKey("clock", "offset")
-        const val WINDOW_DIGITS = 12
-
         /** Time between two steps; delays the take-over of an expired lease by at most this much. */
         const val PERIOD_MS = 500L
 
         /** A process that is killed loses at most the counts of this time. */
         const val PUBLISH_EVERY_MS = 2_000L
 
+        /** After a drill, the processes publish their counts again within this time, at moments of their own. */
+        const val PUBLISH_AGAIN_MS = 1_000L
+        const val FULL_SPREAD_PERCENT = 100
+
         /** Time between two reads of the windows that are due: a tenth of the time within which a report is due. */
         const val REPORT_EVERY_MS = 1_000L
 
@@ -319,20 +252,12 @@
         /** Smallest number of past windows that may still be due, however long a window is. */
         const val MIN_LOOK_BACK_WINDOWS = 3L
 
-        /** Preceding windows whose processes are awaited, so that one cut off from the store for two is noticed. */
-        const val AWAITED_WINDOWS = 2L
-
         /** After a drill, the rows of this many windows may be those of a part of the processes. */
         const val WINDOWS_AFTER_DRILL = 2L
 
         /** Windows that are kept in addition to those that may still be due. */
         const val KEPT_WINDOWS = 5L
 
-        /** Rows of a window are closed within [PUBLISH_EVERY_MS] of its end; the rest covers a slow store. */
-        const val SETTLE_MS = 2_300L
-
-        /** This long before it is late, a window is sent with the rows that exist; a take-over needs about as long. */
-        const val LATE_MARGIN_MS = 4_000L
         const val LOOP_TIMEOUT_MS = 2_000L
 
         /** Timeout of the slowest outward call, the delivery of a report. */
