Send streams in chunks to callers, whatever their upstream's framing is

What callers saw: a truncated stream that looked complete. A stream whose upstream gave neither a length nor chunks was passed on in the same way, ended by closing the caller's connection; a process that is killed closes its connections too. Cause: the framing of the hop to the upstream was copied to the hop to the caller. Change: callers get chunks, by which an end that was not sent is known, and keep their connection. Callers of HTTP/1.0, which know no chunks and got them, get a body that ends with its connection, reset if the stream was broken off.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -38,10 +38,10 @@
                     discardRest()
                     account { tracker.ended(isSuccess = false) }
                 } else {
-                    relay.begin(head, response, framing)
+                    relay.begin(head, response)
                 }
             }
-            else -> relay.begin(head, response, framing)
+            else -> relay.begin(head, response)
         }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Caller.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Caller.kt
@@ -8,8 +8,8 @@
     /** Sends a complete answer and takes ownership of [body]. */
     fun answer(status: Int, headers: HttpHeaders, body: ByteBuf)
 
-    /** Sends the head of a stream; with [endsWithClose], closing the connection marks the end of the body. */
-    fun beginStream(status: Int, headers: HttpHeaders, endsWithClose: Boolean)
+    /** Sends the head of a stream. */
+    fun beginStream(status: Int, headers: HttpHeaders)
 
     /** Sends a part of the stream and takes ownership of [events]. */
     fun stream(events: ByteBuf)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
-import org.medlarhook.serving.upstream.BodyFraming
 
 /**
  * Forwards an upstream's answer to the caller.
@@ -19,7 +18,6 @@
 ) {
     private var status = 0
     private var headers: HttpHeaders? = null
-    private var endsWithClose = false
     private var splitter: EventSplitter? = null
     private var fullBody: AnswerBuffers.AnswerBuffer? = null
 
@@ -39,11 +37,10 @@
     val isCallerWritable: Boolean get() = caller.isWritable
 
     /** Starts an answer with [head]; after an interruption, continues the stream that was begun before. */
-    fun begin(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
+    fun begin(head: UpstreamHead, response: HttpResponse) {
         if (hasBegun) return
         status = head.status
         headers = format.callerHeaders(response)
-        endsWithClose = framing == BodyFraming.CONNECTION_CLOSE
         if (head.isStream) {
             splitter = splitter ?: EventSplitter()
         } else {
@@ -92,7 +89,7 @@
 
     private fun beginStream() {
         hasBegun = true
-        caller.beginStream(status, headers!!, endsWithClose)
+        caller.beginStream(status, headers!!)
     }
 
     private companion object {
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -46,6 +46,7 @@
     private var timer: Future<*>? = null
     private var requestsRead = 0
     private var isKeepAlive = true
+    private var isChunkless = false
     private var isClosing = false
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -106,6 +107,7 @@
         body = null
         timer?.cancel(false)
         isKeepAlive = HttpUtil.isKeepAlive(head)
+        isChunkless = head.protocolVersion() < HttpVersion.HTTP_1_1
         val call = serving.format.readCall(head, fullBody)
         if (call == null) {
             fullBody.release()
@@ -160,10 +162,14 @@
         write(response, isLast = true)
     }
 
-    override fun beginStream(status: Int, headers: HttpHeaders, endsWithClose: Boolean) {
+    /**
+     * Sends the body in chunks whatever the upstream's framing is, because the end of a connection looks the same if
+     * this process is killed. Only callers of HTTP/1.0 know no chunks.
+     */
+    override fun beginStream(status: Int, headers: HttpHeaders) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().setAll(headers)
-        if (endsWithClose) isKeepAlive = false else HttpUtil.setTransferEncodingChunked(response, true)
+        if (isChunkless) isKeepAlive = false else HttpUtil.setTransferEncodingChunked(response, true)
         write(response, isLast = false)
     }
 
