--- a/harness/src/main/kotlin/org/medlarhook/harness/LinkProxy.kt
+++ b/harness/src/main/kotlin/org/medlarhook/harness/LinkProxy.kt
@@ -10,9 +10,15 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.concurrent.thread
 
-/** A TCP proxy to [targetPort] on loopback. A test can cut the connections or make them drop data silently. */
+/**
+ * A TCP proxy to [targetPort] on loopback. A test can cut the connections or make them drop data silently.
+ *
+ * @param resetsBroken true to reset connections that were cut, were reset at the other side or have lost data. Closed
+ * in order, they would make a body that ends with its connection look complete.
+ */
 public class LinkProxy(
     private val targetPort: Int,
+    private val resetsBroken: Boolean = false,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val sockets = CopyOnWriteArrayList<Socket>()
@@ -47,7 +53,7 @@
     }
 
     private fun closeConnections() {
-        sockets.forEach { it.close() }
+        sockets.forEach { end(it, isWhole = false) }
         sockets.clear()
     }
 
@@ -75,25 +81,34 @@
 
     private fun pump(from: Socket, to: Socket, silentMode: LinkMode) {
         thread(isDaemon = true, name = "link-$port-pump") {
-            try {
-                copy(from, from.getInputStream(), to.getOutputStream(), silentMode)
-            } catch (_: IOException) {
-                from.close()
-                to.close()
-            }
+            val isWhole =
+                try {
+                    copy(from, from.getInputStream(), to.getOutputStream(), silentMode)
+                } catch (_: IOException) {
+                    false
+                }
+            end(to, isWhole)
+            end(from, isWhole)
         }
     }
 
-    private fun copy(from: Socket, input: InputStream, output: OutputStream, silentMode: LinkMode) {
+    /** Copies up to the orderly end of [input]; returns false if some of it was dropped. */
+    private fun copy(from: Socket, input: InputStream, output: OutputStream, silentMode: LinkMode): Boolean {
         val buffer = ByteArray(BUFFER_BYTES)
+        var isWhole = true
         while (true) {
             val count = input.read(buffer)
-            if (count < 0) throw IOException("end of stream")
+            if (count < 0) return isWhole
             val isSilent = mode == LinkMode.SILENT || mode == silentMode || from in silenced
-            if (!isSilent) output.write(buffer, 0, count)
+            if (isSilent) isWhole = false else output.write(buffer, 0, count)
         }
     }
 
+    private fun end(socket: Socket, isWhole: Boolean) {
+        if (resetsBroken && !isWhole && !socket.isClosed) runCatching { socket.setSoLinger(true, 0) }
+        socket.close()
+    }
+
     private companion object {
         const val BACKLOG = 200
         const val BUFFER_BYTES = 65_536
