Tell processes that have just started of crashes, and load the message classes after the start

A process that starts asks the others what they know, but they read its address one or two usage windows later, and told it nothing new until then. The classes of the messages are loaded by a thread of their own a second after the start instead of before callers are accepted.

No test failed before; found by reading.

--- a/serving/src/main/kotlin/org/medlarhook/serving/crash/CrashReport.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/crash/CrashReport.kt
@@ -3,8 +3,8 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What a serving process knows about prompt parts under which engines crash, as told to other processes. Times are ages,
- * because the processes have no clock in common.
+ * What a serving process knows about prompt parts under which engines crash, as told to other processes. Times are
+ * ages, because the processes have no clock in common.
  *
  * @property sound parts that had a complete answer, which refutes earlier crashes.
  * @property isQuestion true if the sender asks for what the receiver knows.
--- a/serving/src/main/kotlin/org/medlarhook/serving/crash/PromptCrashes.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/crash/PromptCrashes.kt
@@ -7,8 +7,8 @@
 import org.medlarhook.ports.TimeSource
 
 /**
- * Observes which prompt parts crash engines, refuses requests with them, and tells the other processes. Used on the event
- * loop only.
+ * Observes which prompt parts crash engines, refuses requests with them, and tells the other processes. Used on the
+ * event loop only.
  *
  * All processes are told of a crash at once. A datagram may be lost and a process may start later, so what is known is
  * repeated to a few processes while it matters.
@@ -75,7 +75,7 @@
             it.id
         }.filter { it.length <= CrashReport.MAX_ID }.distinct()
 
-    /** Takes over what another process has told; returns what it should be told in turn, or null if there is nothing. */
+    /** Takes over what another process has told; returns what it should be told in turn, or null. */
     fun told(report: CrashReport): CrashReport? {
         val nowMs = time.monotonicMs()
         val refuted = LinkedHashSet<String>()
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -49,6 +49,7 @@
     @Volatile
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
+    private val newcomers = Newcomers()
     private val untold = ArrayList<BegunStream>()
     private val openQuestions = HashMap<Long, OpenQuestion>()
     private var nextQuestion = Random.nextLong()
@@ -71,7 +72,6 @@
                 .handler(Receiver())
                 .bind(address.host, address.port)
                 .awaitUninterruptibly()
-        loadSerializers()
         if (bound.isSuccess) {
             channel = bound.channel()
         } else {
@@ -79,8 +79,8 @@
         }
     }
 
-    /** The first message would otherwise hold up the event loop while classes are loaded. */
-    private fun loadSerializers() {
+    /** Loads the classes of the messages, on any thread: the first message would otherwise hold up the event loop. */
+    fun loadSerializers() {
         val crashed = CrashedPart("part", listOf(EngineCrash("engine", 0, 0)))
         val sample = PeerMessage.CrashesReported(CrashReport(listOf(crashed), listOf(SoundPart("part", 0))))
         RowJson.decode<PeerMessage>(RowJson.encode<PeerMessage>(sample))
@@ -105,9 +105,12 @@
 
     override fun tell(report: LimitReport) = peers.forEach { send(PeerMessage.LimitChanged(report), it) }
 
-    override fun tell(report: CrashReport) = sendInParts(report, peers)
+    override fun tell(report: CrashReport) = sendInParts(report, peersAndNewcomers())
 
-    override fun tellSome(report: CrashReport) = sendInParts(report, peers.shuffled().take(REPEATS))
+    override fun tellSome(report: CrashReport) = sendInParts(report, peersAndNewcomers().shuffled().take(REPEATS))
+
+    private fun peersAndNewcomers(): List<InetSocketAddress> =
+        (peers + newcomers.at(time.monotonicMs())).distinct()
 
     private fun sendInParts(report: CrashReport, receivers: List<InetSocketAddress>) {
         val crashed = report.crashed.chunked(CRASHED_PARTS_PER_MESSAGE).map { CrashReport(crashed = it) }
@@ -160,7 +163,10 @@
                 send(PeerMessage.OriginAnswer(message.number, listener.originOf(message.stream)), sender)
             is PeerMessage.OriginAnswer -> answered(message)
             is PeerMessage.LimitChanged -> onLimit(message.report)
-            is PeerMessage.CrashesReported -> crashes.told(message.report)?.let { sendInParts(it, listOf(sender)) }
+            is PeerMessage.CrashesReported -> {
+                if (message.report.isQuestion) newcomers.greeted(sender, time.monotonicMs())
+                crashes.told(message.report)?.let { sendInParts(it, listOf(sender)) }
+            }
         }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -101,7 +101,7 @@
         warmUp()
         callers.open(settings.callers)
         serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
-        serving.loop.schedule({ usageReporter.start() }, USAGE_REPORTER_DELAY_MS, TimeUnit.MILLISECONDS)
+        serving.loop.schedule({ startBackground() }, BACKGROUND_DELAY_MS, TimeUnit.MILLISECONDS)
         Gauge.builder("medlarhook.requests.in.flight") { serving.requestsInFlight }.register(meters)
         Gauge.builder("medlarhook.callers.connections") { callerConnections.openConnections }.register(meters)
         Gauge.builder("medlarhook.upstreams.connections") { serving.pool.openConnections }.register(meters)
@@ -111,6 +111,11 @@
         logger.event(LogEvent.PROCESS_STARTED, "process" to settings.process, "callers" to settings.callers)
     }
 
+    private fun startBackground() {
+        peers?.let { thread(name = "load-messages", isDaemon = true) { it.loadSerializers() } }
+        usageReporter.start()
+    }
+
     /** Waits up to [INITIAL_STATE_TIMEOUT_MS] for the configuration and the registrations. */
     private fun awaitInitialState() {
         val timeoutAtMs = time.monotonicMs() + INITIAL_STATE_TIMEOUT_MS
@@ -192,8 +197,8 @@
         const val INITIAL_STATE_TIMEOUT_MS = 1_500L
         const val INITIAL_STATE_POLL_MS = 10L
 
-        /** The first steps of the usage reporter run uncompiled code too, and may wait until callers are served. */
-        const val USAGE_REPORTER_DELAY_MS = 1_000L
+        /** The first steps of this work run uncompiled code too, and may wait until callers are served. */
+        const val BACKGROUND_DELAY_MS = 1_000L
 
         /** The balancer removes the process after two failed readiness checks, which are a second apart. */
         const val BALANCER_REMOVAL_MS = 3_500L
