--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -7,6 +7,7 @@
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.resume.StreamOrigin
+import org.medlarhook.serving.crash.RequestFingerprint
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
 import org.medlarhook.serving.upstream.RequestPermits
@@ -45,6 +46,9 @@
 
     private val account = ArrivalAccount(serving.retryBudgets, record)
 
+    /** Reads the body, which is released when the exchange ends. */
+    private val fingerprint by lazy { RequestFingerprint.of(call, demand.workspace) }
+
     /** Admits and places the request, or refuses it. */
     fun start() {
         when (val admission = serving.admit(call)) {
@@ -260,6 +264,7 @@
         if (!wasSent) account.notSent()
         if (reason.isBrokenOff && wasSent) crashesMet++
         if (isDone) return
+        if (reason.isBrokenOff && wasSent) record.fingerprint = fingerprint
         when {
             !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -30,6 +30,9 @@
     /** Retries that were withdrawn from the budget. */
     var retries = 0
 
+    /** Recognises the request when it comes again, if an upstream broke off its answer; null for any other. */
+    var fingerprint: String? = null
+
     /** True if the budget had no retry left for the request. */
     var isRetryRefused = false
     private val attempts = ArrayList<String>()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -53,6 +53,7 @@
                 "config" to configVersion,
                 "configAgeMs" to confirmedAtMs?.let { nowMs - it },
                 "attempts" to record.attemptsText,
+                "fingerprint" to record.fingerprint,
                 "arrivals" to record.arrivals,
                 "retries" to record.retries.takeIf { it > 0 },
                 "retryRefused" to record.isRetryRefused.takeIf { it },
