Hold a whole request under which upstreams crash

Cause: crashes were evidence against prompt parts that several requests share only. A request without parts left no evidence, and a prompt whose parts are sound was cleared by each answer to another prompt. Change: a request has a fingerprint of method, host, path, query, workspace and body, and is a suspect beside its parts. Three crashes of different starts hold it in all processes. The narrower explanation goes first, so that a sound part is not held for it; a request that was cut by all crashes of another is held for 4 s only. At the end of a quarantine one probe is sent, at another time in each process. The crashes that one process tells are no longer limited to eight suspects, among which the culprit was only by chance.

--- a/core/src/main/kotlin/org/medlarhook/core/result/ResultCode.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/result/ResultCode.kt
@@ -46,6 +46,7 @@
     NO_CONFIG(2011, 503, "The configuration is not known yet"),
     STREAM_ORIGIN_UNKNOWN(2012, 503, "The software version that began the stream is not known"),
     PROMPT_PART_QUARANTINED(2013, 503, "Engines crash on a part of the prompt"),
+    REQUEST_QUARANTINED(2014, 503, "Upstreams crash under this request"),
 
     UPSTREAM_FAILED(3001, 502, "The upstream failed"),
     OUTCOME_UNKNOWN(3002, 502, "It is not known whether the request was run"),
--- a/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashReplay.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashReplay.kt
@@ -5,16 +5,17 @@
 import kotlin.random.Random
 
 /**
- * Replays requests of several processes at engines that crash, with each process's own [CrashingParts] and datagrams
+ * Replays requests of several processes at engines that crash, with each process's own [CrashEvidence] and datagrams
  * that may be lost.
  *
- * @param isObserved false for processes that know nothing of prompt parts.
+ * @param suspectsOf what a crash under a request is put down to, or null for processes that observe nothing.
  * @param massCrashAtMs when all engines crash at once, or null.
  * @param badFromMs when requests with the bad part begin.
  */
 internal class CrashReplay(
     seed: Int,
-    private val isObserved: Boolean = true,
+    private val workload: CrashWorkload = BadPart(),
+    private val suspectsOf: ((CrashCall) -> List<Suspect>)? = { wholeAndParts(it) },
     private val lossShare: Double = 0.3,
     private val badPerS: Double = 5.0,
     private val badFromMs: Long = 5_000,
@@ -22,10 +23,11 @@
     private val lateProcessAtMs: Long = 0,
 ) {
     private val random = Random(seed)
-    private val states = Array(PROCESSES) { CrashingParts() }
+    private val isObserved = suspectsOf != null
+    private val states = Array(PROCESSES) { CrashEvidence(holdSpread = random.nextDouble()) }
     private val events = PriorityQueue<Event>(compareBy({ it.atMs }, { it.order }))
-    private val startedAtMs = LongArray(ENGINES)
-    private val running = Array(ENGINES) { HashSet<Request>() }
+    private val startedAtMs = LongArray(workload.engines)
+    private val running = Array(workload.engines) { LinkedHashSet<Request>() }
     private var order = 0L
     private var nowMs = 0L
 
@@ -38,13 +40,16 @@
     var soundServed = 0
     var soundRefused = 0
 
-    /** By sound part, when requests with it were refused. */
-    val refusalsMs = HashMap<String, ArrayList<Long>>()
+    /** By suspect, when sound requests were refused for it. */
+    val refusalsMs = HashMap<Suspect, ArrayList<Long>>()
 
     private class Event(val atMs: Long, val order: Long, val action: () -> Unit)
 
-    private class Request(val process: Int, val parts: List<String>, val isBad: Boolean) {
+    private inner class Request(val process: Int, val call: CrashCall) {
+        val suspects = suspectsOf?.invoke(call).orEmpty()
+        val isBad = call.isBad
         var crashesMet = 0
+        var isProbe = false
     }
 
     private fun at(atMs: Long, action: () -> Unit) {
@@ -54,9 +59,9 @@
     private fun isRunning(process: Int) = process != LATE_PROCESS || nowMs >= lateProcessAtMs
 
     fun run(): CrashReplay {
-        arrivals(SOUND_PER_S, 0) { sound() }
+        arrivals(workload.soundPerS, 0) { sound() }
         arrivals(badPerS, badFromMs) { bad() }
-        massCrashAtMs?.let { at(it) { repeat(ENGINES) { engine -> crash(engine) } } }
+        massCrashAtMs?.let { at(it) { repeat(workload.engines) { engine -> crash(engine) } } }
         repeat(PROCESSES) { process -> at(random.nextLong(REPEAT_MS)) { repeatEvidence(process) } }
         while (events.isNotEmpty() && events.peek().atMs < END_MS) {
             val event = events.remove()
@@ -78,33 +83,39 @@
 
     private fun sound() {
         soundSent++
-        val session = "session-${random.nextInt(SESSIONS)}"
-        send(Request(anyProcess(), listOf("system", "tenant-${random.nextInt(TENANTS)}", session), isBad = false))
+        send(Request(anyProcess(), workload.sound(random)))
     }
 
-    private fun bad() {
-        val tenant = "tenant-${random.nextInt(TENANTS)}"
-        send(Request(anyProcess(), listOf("system", tenant, BAD, "own-${order++}"), isBad = true))
-    }
+    private fun bad() = send(Request(anyProcess(), workload.bad(random)))
 
     private fun send(request: Request) {
         if (isObserved) {
-            val part = states[request.process].refusedFor(request.parts, nowMs)
-            if (part != null) {
+            val state = states[request.process]
+            val awaited = request.suspects.firstOrNull { !request.isProbe && state.awaitsProbe(listOf(it), nowMs) }
+            val suspect = state.refusedFor(request.suspects, nowMs) ?: awaited
+            if (suspect == null && state.culprits.isNotEmpty()) {
+                states[request.process] = state.probed(request.suspects, nowMs)
+                request.isProbe = true
+            }
+            if (suspect != null) {
                 if (!request.isBad) {
                     soundRefused++
-                    refusalsMs.getOrPut(part) { ArrayList() } += nowMs
+                    refusalsMs.getOrPut(suspect) { ArrayList() } += nowMs
                 }
                 return
             }
         }
-        val engine = (0..<ENGINES).filter { startedAtMs[it] <= nowMs }.ifEmpty { return }.random(random)
+        val engine = (0..<workload.engines).filter { startedAtMs[it] <= nowMs }.ifEmpty { return }.random(random)
         if (request.isBad) badArrivalsMs += nowMs
         running[engine] += request
         val incarnation = startedAtMs[engine]
         at(nowMs + if (request.isBad) CRASH_MS else ANSWER_MS) {
             if (startedAtMs[engine] == incarnation && request in running[engine]) {
-                if (request.isBad) badCrash(engine) else answered(request, engine)
+                when {
+                    request.isBad -> badCrash(engine)
+                    random.nextDouble() < workload.answerLossShare -> cut(listOf(request), engine, incarnation)
+                    else -> answered(request, engine)
+                }
             }
         }
     }
@@ -113,8 +124,8 @@
         running[engine] -= request
         soundServed++
         val state = states[request.process]
-        val accused = request.parts.filter { it in state.evidence }
-        states[request.process] = state.succeeded(request.parts, nowMs)
+        val accused = request.suspects.filter { it in state.evidence }
+        states[request.process] = state.succeeded(request.suspects, nowMs)
         if (accused.isNotEmpty()) others(request.process).forEach { tellSound(accused, it) }
     }
 
@@ -124,20 +135,24 @@
     }
 
     private fun crash(engine: Int) {
-        val incarnation = Incarnation("engine-$engine", startedAtMs[engine])
+        val crashedStartMs = startedAtMs[engine]
         crashesMs += nowMs
         startedAtMs[engine] = nowMs + RESTART_MS
-        val cut = running[engine].toList()
-        running[engine].clear()
+        cut(running[engine].toList(), engine, crashedStartMs)
+    }
+
+    private fun cut(cut: List<Request>, engine: Int, startMs: Long) {
+        val incarnation = Incarnation("engine-$engine", startMs)
+        running[engine] -= cut.toSet()
         cut.forEach { request ->
             val process = request.process
-            states[process] = states[process].crashed(request.parts, incarnation, nowMs)
-            others(process).forEach { tellEvidence(process, request.parts, it) }
+            states[process] = states[process].crashed(request.suspects, incarnation, nowMs)
+            others(process).forEach { tellEvidence(process, request.suspects, it) }
         }
         cut.forEach { request ->
             request.crashesMet++
-            val mayRetry = request.crashesMet < MAX_ATTEMPTS &&
-                (!isObserved || request.crashesMet < 2 || !states[request.process].hasSuspect(request.parts))
+            val mayRetry = request.crashesMet < workload.maxAttempts &&
+                (!isObserved || request.crashesMet < 2 || !states[request.process].hasSuspect(request.suspects))
             if (mayRetry) at(nowMs + 1) { send(request) }
         }
     }
@@ -155,21 +170,21 @@
         at(nowMs + REPEAT_MS) { repeatEvidence(process) }
     }
 
-    private fun tellEvidence(from: Int, parts: List<String>, to: Int) {
-        val told = parts.mapNotNull { part -> states[from].evidence[part]?.let { part to it } }
+    private fun tellEvidence(from: Int, suspects: List<Suspect>, to: Int) {
+        val told = suspects.mapNotNull { suspect -> states[from].evidence[suspect]?.let { suspect to it } }
         datagram {
-            told.forEach { (part, crashes) ->
-                if (crashes.any { states[to].refutes(part, it.value) }) tellSound(listOf(part), from, to)
+            told.forEach { (suspect, crashes) ->
+                if (crashes.any { states[to].refutes(suspect, it.value) }) tellSound(listOf(suspect), from, to)
                 crashes.forEach { (incarnation, atMs) ->
-                    states[to] = states[to].crashed(listOf(part), incarnation, atMs)
+                    states[to] = states[to].crashed(listOf(suspect), incarnation, atMs)
                 }
             }
         }
     }
 
-    private fun tellSound(parts: List<String>, to: Int, from: Int? = null) {
-        val times = parts.map { part -> part to (from?.let { states[it].lastAnswerMs(part) } ?: nowMs) }
-        datagram { times.forEach { (part, atMs) -> states[to] = states[to].succeeded(listOf(part), atMs) } }
+    private fun tellSound(suspects: List<Suspect>, to: Int, from: Int? = null) {
+        val times = suspects.map { suspect -> suspect to (from?.let { states[it].lastAnswerMs(suspect) } ?: nowMs) }
+        datagram { times.forEach { (suspect, atMs) -> states[to] = states[to].succeeded(listOf(suspect), atMs) } }
     }
 
     private fun datagram(receive: () -> Unit) {
@@ -181,15 +196,12 @@
         const val LATE_PROCESS = PROCESSES - 1
         const val END_MS = 40_000L
         const val CONTACT_MS = 4_000L
-        private const val BAD = "bad"
-        private const val ENGINES = 40
-        private const val TENANTS = 5
-        private const val SESSIONS = 400
-        private const val SOUND_PER_S = 200.0
-        private const val MAX_ATTEMPTS = 3
         private const val ANSWER_MS = 300L
         private const val CRASH_MS = 40L
         private const val RESTART_MS = 4_000L
         private const val REPEAT_MS = 500L
+
+        fun wholeAndParts(call: CrashCall): List<Suspect> =
+            listOf(Suspect.Request(call.content)) + call.parts.map { Suspect.Part(it) }
     }
 }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashReplayTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashReplayTest.kt
@@ -27,7 +27,7 @@
 
     @Test
     fun `Given a bad part, then few requests with it reach engines after the fifth crash, and sound ones are served`() {
-        val baseline = SEEDS.map { CrashReplay(it, isObserved = false).run() }
+        val baseline = SEEDS.map { CrashReplay(it, suspectsOf = null).run() }
         val observed = SEEDS.map { CrashReplay(it).run() }
         report("baseline", baseline)
         report("quarantine", observed)
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -71,4 +71,8 @@
     PROMPT_PART_QUARANTINED(622, "Prompt part crashes engines; requests with it are refused"),
     PROMPT_PART_CLEARED(623, "Prompt part had a complete answer, or other parts explain the crashes under it"),
     PROMPT_PART_REFUSED(624, "Requests refused for a quarantined prompt part"),
+    REQUEST_SUSPECTED(625, "Upstreams crashed under a request; it is not retried after two crashes"),
+    REQUEST_QUARANTINED(626, "Request crashes upstreams; it is refused when it comes again"),
+    REQUEST_CLEARED(627, "Request had a complete answer, or prompt parts explain the crashes under it"),
+    QUARANTINED_REQUEST_REFUSED(628, "Requests refused because upstreams crash under them"),
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -86,14 +86,14 @@
     private fun observeEnd(status: Int) {
         if (status !in SUCCESSES) return
         when {
-            framing != BodyFraming.CONNECTION_CLOSE || bodyReads >= MIN_READS_OF_ANSWER -> tracker.answerCompleted()
-            bodyReads == 0 -> tracker.connectionLost()
+            framing != BodyFraming.CONNECTION_CLOSE || bodyReads >= MIN_READS_OF_ANSWER -> exchange.answerCompleted()
+            bodyReads == 0 -> exchange.connectionLost(tracker.upstream)
         }
     }
 
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         if (isDiscarding) return
-        if (reason.isBrokenOff && wasSent) tracker.connectionLost()
+        if (reason.isBrokenOff && wasSent) exchange.connectionLost(tracker.upstream)
         account { if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent) }
         relay.interrupted()
         exchange.attemptFailed(reason, wasSent)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -12,7 +12,7 @@
     private val demand: Demand,
     private val chosen: Placement.Chosen,
     private val sentAtMs: Long,
-    private val upstream: Upstream,
+    val upstream: Upstream,
     private val onRunStarted: () -> Unit,
 ) {
     private val incarnation = upstream.incarnation
@@ -79,12 +79,6 @@
         }
     }
 
-    /** Records that the upstream closed the connection before its answer was complete. */
-    fun connectionLost() = serving.crashes.connectionLost(demand, upstream)
-
-    /** Records that the upstream has answered in full, so that it did not crash under the request. */
-    fun answerCompleted() = serving.crashes.answered(demand)
-
     private fun decodeObserved(nowMs: Long) {
         val tokens = demand.generation?.outputTokens ?: return
         val decodeMs = (nowMs - firstTokenAtMs).toDouble()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -7,7 +7,7 @@
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.resume.StreamOrigin
-import org.medlarhook.serving.crash.RequestFingerprint
+import org.medlarhook.serving.crash.CrashSubject
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
 import org.medlarhook.serving.upstream.RequestPermits
@@ -27,6 +27,7 @@
     private val onDone: () -> Unit,
 ) {
     private lateinit var demand: Demand
+    private lateinit var crashSubject: CrashSubject
     private var handle: AttemptHandle? = null
     private var relay: Relay? = null
     private var deadline: Future<*>? = null
@@ -46,15 +47,13 @@
 
     private val account = ArrivalAccount(serving.retryBudgets, record)
 
-    /** Reads the body, which is released when the exchange ends. */
-    private val fingerprint by lazy { RequestFingerprint.of(call, demand.workspace) }
-
     /** Admits and places the request, or refuses it. */
     fun start() {
         when (val admission = serving.admit(call)) {
             is Admission.Refused -> refuse(admission.code, admission.retryAfterMs)
             is Admission.Admitted -> {
                 demand = admission.demand
+                crashSubject = CrashSubject(call, demand)
                 record.demand = demand
                 deadline = serving.schedule(demand.deadlineAtMs) { onDeadline() }
                 serving.origins.find(call, demand) { originFound(it) }
@@ -108,7 +107,7 @@
 
     private fun place(hasWaited: Boolean = false) {
         val nowMs = serving.nowMs()
-        if (serving.crashes.refuses(demand)) return refuseQuarantined(nowMs)
+        serving.crashes.refusalOf(crashSubject)?.let { return refuseQuarantined(it, nowMs) }
         when (val placement = serving.place(demand, tried, hasWaited, nowMs)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
             is Placement.NoCapacity -> refuseIfNotRun(
@@ -124,9 +123,9 @@
     }
 
     /** A retry before the caller's deadline is most useful at its end, when the quarantine may have been lifted. */
-    private fun refuseQuarantined(nowMs: Long) {
+    private fun refuseQuarantined(code: ResultCode, nowMs: Long) {
         val retryAfterMs = serving.retryAfterMs(demand, Placement.AllClosed(Long.MAX_VALUE), nowMs)
-        refuseIfNotRun(ResultCode.PROMPT_PART_QUARANTINED, retryAfterMs)
+        refuseIfNotRun(code, retryAfterMs)
     }
 
     /** Places the request again once an upstream opens, or refuses it at once if that is too late. */
@@ -141,7 +140,7 @@
         if (!account.pay(demand.service, isPrefill = chosen.prefill != null, nowMs)) return refuseRetry()
         placed = chosen
         placedAtMs = nowMs
-        permits = serving.newPermits(demand)
+        permits = serving.newPermits(crashSubject)
         listOfNotNull(chosen.prefill, chosen.upstream).forEach { permits.claim(it) }
         if (chosen.prefill == null) send(chosen, AttemptStep.Whole, nowMs) else prefill(chosen, chosen.prefill!!, nowMs)
     }
@@ -258,13 +257,21 @@
         retryOr { refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand)) }
     }
 
+    /** Records that [upstream] closed the connection before its answer was complete. */
+    fun connectionLost(upstream: Upstream) {
+        crashesMet++
+        record.fingerprint = crashSubject.request.id
+        serving.crashes.connectionLost(crashSubject, upstream)
+    }
+
+    /** Records that an upstream has answered in full, so that it did not crash under the request. */
+    fun answerCompleted() = serving.crashes.answered(crashSubject)
+
     /** Handles an attempt without a complete answer: retries it if it was not sent or its route allows a second run. */
     fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
         record.failed(reason.name.lowercase())
         if (!wasSent) account.notSent()
-        if (reason.isBrokenOff && wasSent) crashesMet++
         if (isDone) return
-        if (reason.isBrokenOff && wasSent) record.fingerprint = fingerprint
         when {
             !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
@@ -303,7 +310,7 @@
             attemptsSent < MAX_ATTEMPTS_SENT &&
             demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
             serving.endsBeforeShutdown(demand, nowMs) &&
-            !serving.crashes.forbidsRetry(demand, crashesMet) &&
+            !serving.crashes.forbidsRetry(crashSubject, crashesMet) &&
             serving.hasUntriedUpstream(demand, tried, nowMs) &&
             account.canPay(demand.service, nowMs)
     }
@@ -361,6 +368,7 @@
 
     /** A call that goes on without its caller ends at its deadline, like any other. */
     private fun endOrphanAtDeadline() {
+        crashSubject.readBody()
         serving.schedule(demand.deadlineAtMs) {
             handle?.abandon()
             relay?.release()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -9,7 +9,7 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
-import org.medlarhook.serving.crash.PromptCrashLog
+import org.medlarhook.serving.crash.CrashLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -26,8 +26,8 @@
 ) {
     private val timers = HashMap<String, Timer>()
 
-    /** Logs what is concluded about prompt parts under which engines crash. */
-    val crashes = PromptCrashLog(registry, isQuiet)
+    /** Logs what is concluded about requests and prompt parts under which upstreams crash. */
+    val crashes = CrashLog(registry, isQuiet)
 
     fun finished(
         record: ExchangeRecord,
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -23,7 +23,8 @@
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
-import org.medlarhook.serving.crash.PromptCrashes
+import org.medlarhook.serving.crash.CrashSubject
+import org.medlarhook.serving.crash.UpstreamCrashes
 import org.medlarhook.serving.peer.LimitReport
 import org.medlarhook.serving.process.ServingBounds
 import org.medlarhook.serving.upstream.RequestPermits
@@ -54,8 +55,8 @@
     val pool = UpstreamPool(loop, format, time, availability)
     val origins = StreamOrigins(time) { observeClocks() }
 
-    /** The prompt parts under which engines crash. */
-    val crashes = PromptCrashes(time, log.crashes, ::isLeaving) { delayMs, task -> schedule(nowMs() + delayMs, task) }
+    /** The requests and prompt parts under which upstreams crash. */
+    val crashes = UpstreamCrashes(time, log.crashes, ::isLeaving) { delayMs, task -> schedule(nowMs() + delayMs, task) }
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var estimates: PersistentMap<String, ServiceEstimates> = persistentMapOf()
@@ -244,8 +245,9 @@
         return true
     }
 
-    /** The turns that an attempt of [demand] claims at upstreams that limit their requests. */
-    fun newPermits(demand: Demand): RequestPermits = RequestPermits(availability) { !crashes.isQuarantined(demand) }
+    /** The turns that an attempt of [subject] claims at upstreams that limit their requests. */
+    fun newPermits(subject: CrashSubject): RequestPermits =
+        RequestPermits(availability) { !crashes.isQuarantined(subject) }
 
     /** Records the limit of an upstream that another process has told of. */
     fun limitReported(report: LimitReport) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/crash/CrashPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/crash/CrashPeers.kt
@@ -1,6 +1,6 @@
 package org.medlarhook.serving.crash
 
-/** The other serving processes, as far as they are told of prompt parts under which engines crash. */
+/** The other serving processes, as far as they are told of what crashes upstreams. */
 internal interface CrashPeers {
     /** Tells all of them [report]. */
     fun tell(report: CrashReport)
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -18,10 +18,10 @@
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.crash.CrashPeers
 import org.medlarhook.serving.crash.CrashReport
-import org.medlarhook.serving.crash.CrashedPart
-import org.medlarhook.serving.crash.EngineCrash
-import org.medlarhook.serving.crash.PromptCrashes
-import org.medlarhook.serving.crash.SoundPart
+import org.medlarhook.serving.crash.CrashedSuspect
+import org.medlarhook.serving.crash.SoundSuspect
+import org.medlarhook.serving.crash.UpstreamCrash
+import org.medlarhook.serving.crash.UpstreamCrashes
 import java.net.InetSocketAddress
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -36,7 +36,7 @@
  * [ANSWER_TIMEOUT_MS], and a process that misses a limit learns it from the upstream's next answer.
  *
  * @param onLimit called with each limit that another process has told of.
- * @param crashes exchanges with the other processes which prompt parts crash engines.
+ * @param crashes exchanges with the other processes what crashes upstreams.
  */
 internal class DatagramPeers(
     private val loop: EventLoop,
@@ -44,7 +44,7 @@
     private val listener: PeerListener,
     private val time: TimeSource,
     private val onLimit: (LimitReport) -> Unit,
-    private val crashes: PromptCrashes,
+    private val crashes: UpstreamCrashes,
 ) : StreamPeers, LimitPeers, CrashPeers {
     @Volatile
     private var channel: Channel? = null
@@ -81,8 +81,8 @@
 
     /** Loads the classes of the messages, on any thread: the first message would otherwise hold up the event loop. */
     fun loadSerializers() {
-        val crashed = CrashedPart("part", listOf(EngineCrash("engine", 0, 0)))
-        val sample = PeerMessage.CrashesReported(CrashReport(listOf(crashed), listOf(SoundPart("part", 0))))
+        val crashed = CrashedSuspect("part", listOf(UpstreamCrash("engine", 0, 0)))
+        val sample = PeerMessage.CrashesReported(CrashReport(listOf(crashed), listOf(SoundSuspect("part", 0))))
         RowJson.decode<PeerMessage>(RowJson.encode<PeerMessage>(sample))
     }
 
@@ -113,13 +113,29 @@
         (peers + newcomers.at(time.monotonicMs())).distinct()
 
     private fun sendInParts(report: CrashReport, receivers: List<InetSocketAddress>) {
-        val crashed = report.crashed.chunked(CRASHED_PARTS_PER_MESSAGE).map { CrashReport(crashed = it) }
-        val sound = report.sound.chunked(SOUND_PARTS_PER_MESSAGE).map { CrashReport(sound = it) }
+        val crashed = chunkedBySize(report.crashed).map { CrashReport(crashed = it) }
+        val sound = report.sound.chunked(SOUND_PER_MESSAGE).map { CrashReport(sound = it) }
         val question = if (report.isQuestion) listOf(CrashReport(isQuestion = true)) else emptyList()
         val messages = (crashed + sound + question).map { PeerMessage.CrashesReported(it) }
         receivers.forEach { receiver -> messages.forEach { send(it, receiver) } }
     }
 
+    /** The suspects in lists that each fit into a datagram. */
+    private fun chunkedBySize(crashed: List<CrashedSuspect>): List<List<CrashedSuspect>> {
+        val chunks = ArrayList<MutableList<CrashedSuspect>>()
+        var left = 0
+        crashed.forEach { suspect ->
+            val size = suspect.crashes.size + 1
+            if (size > left) {
+                chunks += ArrayList<CrashedSuspect>()
+                left = CRASHES_PER_MESSAGE
+            }
+            chunks.last() += suspect
+            left -= size
+        }
+        return chunks
+    }
+
     private fun tellAll() {
         val byHolder =
             untold.flatMap { stream ->
@@ -204,8 +220,8 @@
         const val STREAMS_PER_MESSAGE = 4
 
         /** Keep a datagram below the same size with identifiers as long as those of the platform. */
-        const val CRASHED_PARTS_PER_MESSAGE = 2
-        const val SOUND_PARTS_PER_MESSAGE = 12
+        const val CRASHES_PER_MESSAGE = 14
+        const val SOUND_PER_MESSAGE = 12
 
         /** Processes to which evidence of crashes is repeated each time. */
         const val REPEATS = 3
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingStateDump.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingStateDump.kt
@@ -5,6 +5,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import org.medlarhook.core.serving.crash.Suspect
 import org.medlarhook.serving.call.ServingLoop
 import org.medlarhook.serving.http.CallerConnections
 
@@ -35,7 +36,13 @@
                     }
                 }
             }
-            putJsonArray("quarantinedPromptParts") { serving.crashes.quarantinedParts.forEach { add(it) } }
+            val quarantined = serving.crashes.quarantined
+            putJsonArray("quarantinedPromptParts") {
+                quarantined.filterIsInstance<Suspect.Part>().forEach { add(it.id) }
+            }
+            putJsonArray("quarantinedRequests") {
+                quarantined.filterIsInstance<Suspect.Request>().forEach { add(it.id) }
+            }
             putJsonArray("usageWindows") { serving.usage.counts.keys.sorted().forEach { add(it) } }
         }.toString()
     }
