Divide the retry budget's slack from the start of a process on

Cause: until a process has read the list of processes, some seconds after its start, it took itself for the only one and used the whole slack. Restarting together, each did. Change: the slack is divided by 16 until the list is known. Measured: FreshProcessesRetryBudgetTest, six processes that have just started and 360 requests at upstreams that reject all, failed before: 276 arrivals beyond the first, 122 allowed. It passes now.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
@@ -10,8 +10,8 @@
 ) {
     private val budgets = HashMap<String, WindowedRetryBudget>()
 
-    /** The number of serving processes among which the slack of each budget is divided. */
-    var processCount = 1
+    /** The number of serving processes among which the slack of each budget is divided, or null before it is known. */
+    var processCount: Int? = null
         private set
 
     /** Divides the slack among [count] processes from now on. */
@@ -56,5 +56,10 @@
     private fun budgetOf(service: String): WindowedRetryBudget =
         budgets[service] ?: WindowedRetryBudget(bounds.repeatRatio, slackShare(), bounds.repeatWindowMs)
 
-    private fun slackShare(): Double = bounds.repeatSlack / processCount
+    private fun slackShare(): Double = bounds.repeatSlack / (processCount ?: ASSUMED_PROCESSES)
+
+    private companion object {
+        /** Processes that start at once don't know of one another yet, and together must not use the slack repeatedly. */
+        const val ASSUMED_PROCESSES = 16
+    }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -105,7 +105,7 @@
         Gauge.builder("medlarhook.requests.in.flight") { serving.requestsInFlight }.register(meters)
         Gauge.builder("medlarhook.callers.connections") { callerConnections.openConnections }.register(meters)
         Gauge.builder("medlarhook.upstreams.connections") { serving.pool.openConnections }.register(meters)
-        Gauge.builder("medlarhook.retries.processes") { serving.retryBudgets.processCount }.register(meters)
+        Gauge.builder("medlarhook.retries.processes") { serving.retryBudgets.processCount ?: 0 }.register(meters)
         FunctionCounter
             .builder("medlarhook.log.lines.dropped", this) { CountingAsyncAppender.droppedLines.toDouble() }
             .register(meters)
