Keep a rest when the registration of its upstream follows

Cause: an answer was attributed to the start that was registered at the address when it came. A registration follows its upstream by a second or more, so the rest that a new start asked for, or another upstream that has got the address, was recorded for its predecessor and forgotten with it. Class: state keyed by what the registry says instead of by who has answered. Change: a closing belongs to the address, and holds for every start there that had begun when the answer came, by the start time that it registers.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
@@ -125,15 +125,15 @@
             return
         }
         val nowMs = time.monotonicMs()
-        val wasOpen = !closings.isClosed(upstream.incarnation, nowMs)
-        closings = closings.closed(upstream.incarnation, seconds, random.nextDouble(), nowMs)
+        val wasOpen = !closings.isClosed(upstream, nowMs)
+        closings = closings.closed(upstream, seconds, random.nextDouble(), nowMs, time.wallMs())
         val opensInMs = closings.opensInMs(listOf(upstream), nowMs)
         if (wasOpen && opensInMs != null) log.upstreamCloses(upstream, retryAfter.text, opensInMs)
     }
 
     /** True if [upstream] neither leaves nor is closed; a limit is not asked for. */
     fun accepts(upstream: Upstream): Boolean =
-        !isLeaving(upstream.incarnation) && !closings.isClosed(upstream.incarnation, time.monotonicMs())
+        !isLeaving(upstream.incarnation) && !closings.isClosed(upstream, time.monotonicMs())
 
     /** True if [incarnation] takes only some requests, of which this process may send a share. */
     fun isLimited(incarnation: Incarnation): Boolean = limits.perS(incarnation) != null
@@ -152,7 +152,7 @@
      * or there are none.
      */
     fun opensInMs(upstreams: List<Upstream>, ahead: Int, nowMs: Long): Long? {
-        if (upstreams.any { isOpenAndUnlimited(it.incarnation, nowMs) }) return null
+        if (upstreams.any { isOpenAndUnlimited(it, nowMs) }) return null
         val openings = upstreams.map { upstream ->
             val opensAtMs = nowMs + (closings.opensInMs(listOf(upstream), nowMs) ?: 0)
             limits.openings(upstream.incarnation, nowMs).map { maxOf(it, opensAtMs) }
@@ -160,8 +160,8 @@
         return TurnQueue.openingOf(openings, ahead)?.let { it - nowMs }?.takeIf { it > 0 }
     }
 
-    private fun isOpenAndUnlimited(incarnation: Incarnation, nowMs: Long): Boolean =
-        !closings.isClosed(incarnation, nowMs) && !isLimited(incarnation)
+    private fun isOpenAndUnlimited(upstream: Upstream, nowMs: Long): Boolean =
+        !closings.isClosed(upstream, nowMs) && !isLimited(upstream.incarnation)
 
     /** True if [incarnation] has announced that it leaves. */
     fun isLeaving(incarnation: Incarnation): Boolean = incarnation in leaving
