Let only requests be probes that a quarantine would have refused

Cause, found by reading: among prompt parts that can't be told apart, a request with one of them only is sent, but was counted as a probe of that part, and held up others with it for 2 s. Change: probes are recorded and awaited for what would refuse the request.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/crash/CrashEvidence.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/crash/CrashEvidence.kt
@@ -12,8 +12,8 @@
  * Designed for a request that crashes every upstream, or a part that does so in whatever prompt, among sound requests
  * that share path, caller and parts with it. A crash also cuts the sound requests that run on the upstream, so it is
  * evidence against all requests that it cuts and their parts, once for each incarnation. A suspect is cleared by a
- * complete answer, which one that crashes every upstream can't have. The narrower explanation goes first: crashes that a
- * whole request explains don't count against its parts, unless more of them happened without it.
+ * complete answer, which one that crashes every upstream can't have. The narrower explanation goes first: crashes
+ * that a whole request explains don't count against its parts, unless more of them happened without it.
  *
  * A culprit is quarantined for [holdMs] after its last crash, twice as long after each further one. At the end one
  * request is sent as a probe, and no other one until it has crashed an upstream, which begins the quarantine again, or
@@ -78,10 +78,16 @@
      * The one of [suspects] for which a request must not be sent at [nowMs], or null if it may be. Parts with the same
      * evidence can't be told apart: only requests with all of them are refused, until one of them stands out.
      */
-    public fun refusedFor(suspects: Collection<Suspect>, nowMs: Long): Suspect? {
-        if (culprits.isEmpty()) return null
-        return suspects.firstOrNull { isQuarantined(it, nowMs) && (it is Suspect.Request || standsOut(it, suspects)) }
-    }
+    public fun refusedFor(suspects: Collection<Suspect>, nowMs: Long): Suspect? =
+        blocking(suspects).firstOrNull { nowMs < quarantinedUntilMs(it) }
+
+    /** Those of [suspects] for which a request with all of them is refused during their quarantine. */
+    private fun blocking(suspects: Collection<Suspect>): List<Suspect> =
+        if (culprits.isEmpty()) {
+            emptyList()
+        } else {
+            suspects.filter { it in culprits && (it is Suspect.Request || standsOut(it, suspects)) }
+        }
 
     private fun standsOut(part: Suspect, suspects: Collection<Suspect>): Boolean =
         culprits.all { it is Suspect.Request || it in suspects || crashesOf(it) != crashesOf(part) }
@@ -92,21 +98,13 @@
 
     /** Records that a request with [suspects] is sent at [nowMs], as a probe of those whose quarantine has ended. */
     public fun probed(suspects: Collection<Suspect>, nowMs: Long): CrashEvidence {
-        val probed = suspects.filter { it in culprits }
-        return if (probed.isEmpty()) {
-            this
-        } else {
-            copy(
-                probedAtMs = probed.fold(probedAtMs) { all, it ->
-                    all.put(it, nowMs)
-                },
-            )
-        }
+        val probed = blocking(suspects).filter { nowMs >= quarantinedUntilMs(it) }
+        return if (probed.isEmpty()) this else copy(probedAtMs = probedAtMs.putAll(probed.associateWith { nowMs }))
     }
 
-    /** True if the result of a probe of one of [suspects] is awaited at [nowMs], so that no other one is sent. */
-    public fun awaitsProbe(suspects: Collection<Suspect>, nowMs: Long): Boolean =
-        suspects.any { suspect -> suspect in culprits && probedAtMs[suspect]?.let { nowMs < it + PROBE_MS } == true }
+    /** The one of [suspects] whose probe has no result yet at [nowMs], so that no other one is sent, or null. */
+    public fun awaitedProbe(suspects: Collection<Suspect>, nowMs: Long): Suspect? =
+        blocking(suspects).firstOrNull { suspect -> probedAtMs[suspect]?.let { nowMs < it + PROBE_MS } == true }
 
     /** True if one of [suspects] may be a culprit: upstreams crashed under it and no answer has cleared it since. */
     public fun hasSuspect(suspects: Collection<Suspect>): Boolean = suspects.any { it in evidence }
@@ -206,15 +204,15 @@
 
     public companion object {
         /**
-         * Upstreams that must crash under a suspect. One crash cuts a dozen sound requests, and their retries may meet a
-         * second one.
+         * Upstreams that must crash under a suspect. One crash cuts a dozen sound requests, and their retries may meet
+         * a second one.
          */
         public const val CRASHES_TO_ACCUSE: Int = 3
 
         /** For a part with a recent complete answer, which its service has probably served for long. */
         public const val CRASHES_TO_ACCUSE_SOUND: Int = 5
 
-        /** Crashes under a part that its most accused request does not explain: as many as another request can cause. */
+        /** Crashes under a part beside those under any single request: as many as another request can cause. */
         private const val CRASHES_WITHOUT_REQUEST = 2
 
         /** Crashes this soon after a complete answer on a suspect don't count against it. */
--- a/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashEvidenceTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashEvidenceTest.kt
@@ -179,14 +179,22 @@
         val endMs = CrashEvidence.EARLY_PROBE_MS
         val ended = CrashEvidence().crashed(1..3, 0, request("deadly"))
         assertNull(ended.refusedFor(deadly, endMs))
-        assertFalse(ended.awaitsProbe(deadly, endMs))
+        assertNull(ended.awaitedProbe(deadly, endMs))
 
         val probed = ended.probed(deadly, endMs)
-        assertTrue(probed.awaitsProbe(deadly, endMs + 100))
-        assertFalse(probed.succeeded(deadly, endMs + 100).awaitsProbe(deadly, endMs + 100))
+        assertEquals(deadly.first(), probed.awaitedProbe(deadly, endMs + 100))
+        assertNull(probed.succeeded(deadly, endMs + 100).awaitedProbe(deadly, endMs + 100))
         assertEquals(
             deadly.first(),
             probed.crashed(4..4, endMs + 100, request("deadly")).refusedFor(deadly, endMs + 100),
         )
     }
+
+    @Test
+    fun `Given parts that can't be told apart, then a request with one of them is no probe and holds up no other`() {
+        val tied = CrashEvidence().crashed(1..3, 0, part("bad"), part("session"))
+        val session = listOf(part("session"))
+
+        assertNull(tied.probed(session, 10).awaitedProbe(session, 20))
+    }
 }
--- a/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashReplay.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/crash/CrashReplay.kt
@@ -91,7 +91,7 @@
     private fun send(request: Request) {
         if (isObserved) {
             val state = states[request.process]
-            val awaited = request.suspects.firstOrNull { !request.isProbe && state.awaitsProbe(listOf(it), nowMs) }
+            val awaited = if (request.isProbe) null else state.awaitedProbe(request.suspects, nowMs)
             val suspect = state.refusedFor(request.suspects, nowMs) ?: awaited
             if (suspect == null && state.culprits.isNotEmpty()) {
                 states[request.process] = state.probed(request.suspects, nowMs)
--- a/serving/src/main/kotlin/org/medlarhook/serving/crash/UpstreamCrashes.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/crash/UpstreamCrashes.kt
@@ -64,7 +64,7 @@
     fun refusalOf(subject: CrashSubject): ResultCode? {
         if (state.culprits.isEmpty()) return null
         val nowMs = time.monotonicMs()
-        val awaitedProbe = subject.all.firstOrNull { !subject.isProbe && state.awaitsProbe(listOf(it), nowMs) }
+        val awaitedProbe = if (subject.isProbe) null else state.awaitedProbe(subject.all, nowMs)
         val suspect = quarantinedSuspect(subject) ?: awaitedProbe
         if (suspect == null) {
             state = state.probed(subject.all, nowMs)
