Look back as far as any caller waits before a stream's version is inferred

Cause: of a stream that nobody remembers, the version is inferred if the service had a single one for as long as a stream can last. That was taken from the route's time-out and from what the request that takes it up has left. A caller may wait longer than the time-out, and what it has left near its end does not tell when it began. A process that has watched the registry for the time-out plus 5 s therefore guessed. Change: the look-back is the longest time-out and deadline that the process has seen on new requests of the service; a process that has seen none infers nothing and refuses the stream as not run. Ruled out by tests: right after the start nothing was inferred before either, with one or two versions (SoftwareVersionTest, all processes killed).

--- a/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamVersions.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/resume/StreamVersions.kt
@@ -9,19 +9,28 @@
  *
  * A stream that this process or another one has recorded is known. Of any other stream the version is known only if its
  * service had a single one for as long as the stream can have run, and if this process has watched the registry all the
- * time.
+ * time. A stream can have run as long as any caller of its service waits: what the request that takes it up has left
+ * does not tell when its caller began.
  *
  * @property streams recorded streams; two of one identifier with different origins are kept as unknown.
  * @property watchedSinceMs since when this process knows all registrations, or null while it does not.
  * @property confirmedAtMs when the last successful read of the registry began.
  * @property left when the last upstream of a service with a version left the registry.
+ * @property longestStreamMs the longest time, by service, that a caller has waited or a stream could last.
  */
 public data class StreamVersions(
     private val streams: PersistentMap<StreamId, RecordedStream> = persistentMapOf(),
     private val watchedSinceMs: Long? = null,
     private val confirmedAtMs: Long = Long.MIN_VALUE,
     private val left: PersistentMap<ServiceVersion, Long> = persistentMapOf(),
+    private val longestStreamMs: PersistentMap<String, Long> = persistentMapOf(),
 ) {
+    /** Records that a new stream of [service] can last, or be taken up, for [durationMs]. */
+    public fun awaited(service: String, durationMs: Long): StreamVersions {
+        if (durationMs <= (longestStreamMs[service] ?: -1)) return this
+        return copy(longestStreamMs = longestStreamMs.put(service, durationMs))
+    }
+
     /** Records [stream], which is known at [nowMs]. */
     public fun began(stream: BegunStream, nowMs: Long): StreamVersions {
         if (!stream.isRecordable) return this
@@ -73,8 +82,8 @@
         }
 
     /**
-     * The version that all upstreams of [service], of which [registered] are left, had for the last [durationMs], or
-     * null if there were several, or if that is not known at [nowMs].
+     * The version that all upstreams of [service], of which [registered] are left, had for as long as a stream can have
+     * run, at least for the last [durationMs], or null if there were several, or if that is not known at [nowMs].
      */
     public fun singleVersion(
         service: String,
@@ -82,7 +91,9 @@
         durationMs: Long,
         nowMs: Long,
     ): String? {
-        val fromMs = nowMs - durationMs.coerceIn(0, BegunStream.MAX_STREAM_MS) - REGISTRATION_DELAY_MS
+        val longestMs = longestStreamMs[service] ?: return null
+        val lookBackMs = maxOf(durationMs, longestMs).coerceIn(0, BegunStream.MAX_STREAM_MS)
+        val fromMs = nowMs - lookBackMs - REGISTRATION_DELAY_MS
         if (watchedSinceMs == null || watchedSinceMs > fromMs) return null
         if (nowMs - confirmedAtMs > REGISTRATION_DELAY_MS) return null
         val recentlyLeft = left.filter { (version, atMs) -> version.service == service && atMs >= fromMs }.keys
--- a/core/src/test/kotlin/org/medlarhook/core/serving/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/StreamVersionsTest.kt
@@ -11,14 +11,14 @@
 class StreamVersionsTest {
     private val first = upstream("e1") { softwareVersion = "v1" }
     private val second = upstream("e2") { softwareVersion = "v2" }
-    private val watched = StreamVersions().registryChanged(emptyList(), listOf(first), 0)
+    private val watched = StreamVersions().registryChanged(emptyList(), listOf(first), 0).awaited("lm", 15_000)
 
     /** A read of the registry at [nowMs] that shows no change. */
     private fun StreamVersions.watchedUntil(nowMs: Long, vararg registered: Upstream): StreamVersions =
         registryChanged(registered.toList(), registered.toList(), nowMs)
 
     private fun StreamVersions.single(nowMs: Long, vararg registered: String) =
-        singleVersion("lm", listOf(first, second).filter { it.id in registered }, durationMs = 15_000, nowMs)
+        singleVersion("lm", listOf(first, second).filter { it.id in registered }, durationMs = 2_000, nowMs)
 
     private fun StreamVersions.began(attemptId: String, version: String, remainingMs: Long, nowMs: Long = 0) =
         began(BegunStream("w", attemptId, "lm", version, remainingMs), nowMs)
@@ -62,6 +62,22 @@
         assertNull(watched.watchedUntil(19_999, first).single(19_999, "e1"))
     }
 
+    @Test
+    fun `Given callers that may wait longer than the request that takes a stream up, then their time counts`() {
+        val replaced = watched.registryChanged(listOf(first), listOf(second), 10_000)
+        val versions = replaced.awaited("lm", 30_000).awaited("lm", 2_000).awaited("other", 100_000)
+
+        assertNull(versions.watchedUntil(45_000, second).single(45_000, "e2"))
+        assertEquals("v2", versions.watchedUntil(45_001, second).single(45_001, "e2"))
+    }
+
+    @Test
+    fun `Given a service of which no caller's time is known, then no version is known`() {
+        val untold = StreamVersions().registryChanged(emptyList(), listOf(first), 0)
+
+        assertNull(untold.watchedUntil(60_000, first).single(60_000, "e1"))
+    }
+
     @Test
     fun `Given two versions, or one that left while a stream can still run, then none is known`() {
         val both = watched.registryChanged(listOf(first), listOf(first, second), 30_000)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
@@ -29,7 +29,6 @@
     private var versions = StreamVersions()
     private var registry = UpstreamRegistry()
     private var watchedGeneration: Int? = null
-    private var longestStreamMs = 0L
     private var toldServices = emptySet<String>()
     private var isStopping = false
     private var nextPruneAtMs = 0L
@@ -58,7 +57,7 @@
 
     private fun tellWhereUncertain() {
         val services = registry.all().map { it.service }.toSet() + toldServices
-        val uncertain = services.filter { isStopping || singleVersion(it, longestStreamMs) == null }.toSet()
+        val uncertain = services.filter { isStopping || singleVersion(it) == null }.toSet()
         val nowMs = time.monotonicMs()
         (uncertain - toldServices).flatMap { versions.recordedOf(it, nowMs) }.forEach { peers.tell(it) }
         toldServices = uncertain
@@ -69,7 +68,6 @@
         val attemptId = call.attemptId
         if (!demand.route.isResumable || origin !is StreamOrigin.BegunAt || attemptId == null) return
         val streamMs = streamMs(call, demand)
-        longestStreamMs = maxOf(longestStreamMs, streamMs)
         val stream = BegunStream(demand.workspace, attemptId, origin.service, origin.softwareVersion, streamMs)
         if (!stream.isRecordable) return
         began(stream)
@@ -82,7 +80,11 @@
 
     /** Finds where the stream began that [call] takes up, and passes it to [onFound], at once if it is known here. */
     fun find(call: CallerCall, demand: Demand, onFound: (StreamOrigin) -> Unit) {
-        if (call.lastEventId == null || !demand.route.isResumable) return onFound(StreamOrigin.NotBegun)
+        if (!demand.route.isResumable) return onFound(StreamOrigin.NotBegun)
+        if (call.lastEventId == null) {
+            demand.route.targets.forEach { versions = versions.awaited(it.service, streamMs(call, demand)) }
+            return onFound(StreamOrigin.NotBegun)
+        }
         val stream =
             StreamQuestion(
                 workspace = demand.workspace,
@@ -115,7 +117,7 @@
         }
     }
 
-    private fun singleVersion(service: String, streamMs: Long): String? {
+    private fun singleVersion(service: String, streamMs: Long = 0): String? {
         val generation = clockGeneration()
         if (watchedGeneration != null && generation != watchedGeneration) versions = versions.registryLost()
         watchedGeneration = generation
