Begin a request only after all that has arrived with it was read

Cause: after a restart of all processes under twice the load, a process reads requests up to some hundred milliseconds late. The request and the end of its caller's connection have both arrived by then, but a connection was read once a turn and the request sent at once, so that the end was read a turn later: the process's log has 36 requests that were sent and whose callers were found to have left 30 to 230 ms after that. Ruled out: a request that waits in this process (waitedMs is 0 or 1 in these lines), and deadlines, which are counted from the reading. Change: a caller's connection is read until nothing more has arrived, and a request is begun once the loop has done its reads, unless the connection has ended. It costs one more read of each request. Class: a decision on a state that is known to be old.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Caller.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Caller.kt
@@ -20,6 +20,9 @@
     /** Resets the connection, so that the caller can't mistake a truncated answer for a complete one. */
     fun abort()
 
+    /** False from the moment at which the end of the connection was read. */
+    val isConnected: Boolean
+
     /** False while the caller reads more slowly than the stream arrives. */
     val isWritable: Boolean
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -56,11 +56,17 @@
                 crashSubject = CrashSubject(call, demand)
                 record.demand = demand
                 deadline = serving.schedule(demand.deadlineAtMs) { onDeadline() }
-                serving.origins.find(call, demand) { originFound(it) }
+                serving.afterReads { begin() }
             }
         }
     }
 
+    /** Begins the request, unless the loop was so late that its caller has left in the meantime. */
+    private fun begin() {
+        if (!caller.isConnected) callerDisconnected()
+        if (!isDone) serving.origins.find(call, demand) { originFound(it) }
+    }
+
     private fun originFound(origin: StreamOrigin) {
         if (isDone) return
         demand = serving.withOrigin(demand, origin)
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -189,6 +189,8 @@
         context.close()
     }
 
+    override val isConnected: Boolean get() = context.channel().isActive
+
     override val isWritable: Boolean get() = context.channel().isWritable
 
     private fun write(response: HttpResponse, isLast: Boolean) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.serving.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -11,7 +12,12 @@
 import org.medlarhook.serving.call.ServingLoop
 import java.net.InetSocketAddress
 
-/** Listens for callers' connections and sets up their pipelines. */
+/**
+ * Listens for callers' connections and sets up their pipelines.
+ *
+ * A connection is read until nothing more has arrived, so that its end is known together with a request that was read
+ * late: see [Caller.isConnected][org.medlarhook.serving.call.Caller.isConnected].
+ */
 internal class CallerListener(
     private val group: EventLoopGroup,
     private val serving: ServingLoop,
@@ -28,6 +34,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, readsToTheEnd())
                 .childHandler(
                     object : ChannelInitializer<Channel>() {
                         override fun initChannel(child: Channel) {
@@ -49,7 +56,14 @@
         channel?.close()
     }
 
+    /** Reads on after a read that did not fill its buffer, because the end of the connection may follow. */
+    private fun readsToTheEnd() =
+        AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_PER_TURN)
+
     private companion object {
+        /** Reads of one connection before the others have their turn. */
+        const val READS_PER_TURN = 16
+
         /** Connections that may wait to be accepted, so that a burst is queued rather than dropped. */
         const val BACKLOG = 512
     }
