End a connection at once if an error keeps its request from beginning

Cause: since a request is begun in a task of its own, an unexpected error there reached only the event loop, which logs it and goes on, and the caller would have waited for its deadline. Change: the connection runs the task and treats an error as one of its own: it is logged, and the connection ends.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Caller.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Caller.kt
@@ -20,6 +20,9 @@
     /** Resets the connection, so that the caller can't mistake a truncated answer for a complete one. */
     fun abort()
 
+    /** Runs [task] once all that has arrived on the connection was read. An error in it ends the connection. */
+    fun afterReads(task: () -> Unit)
+
     /** False from the moment at which the end of the connection was read. */
     val isConnected: Boolean
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -56,7 +56,7 @@
                 crashSubject = CrashSubject(call, demand)
                 record.demand = demand
                 deadline = serving.schedule(demand.deadlineAtMs) { onDeadline() }
-                serving.afterReads { begin() }
+                caller.afterReads { begin() }
             }
         }
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -99,9 +99,6 @@
     fun schedule(atMs: Long, task: () -> Unit): Future<*> =
         loop.schedule(task, (atMs - nowMs()).coerceAtLeast(0), TimeUnit.MILLISECONDS)
 
-    /** Runs [task] on the loop once it has read from all connections on which something has arrived. */
-    fun afterReads(task: () -> Unit): Unit = loop.execute(task)
-
     /** Puts [newer] in force, and returns false if its version is not later than the current one. */
     fun configure(newer: ServingConfig): Boolean {
         configFreshness = configFreshness.shown(newer.version)
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -189,6 +189,9 @@
         context.close()
     }
 
+    override fun afterReads(task: () -> Unit) =
+        context.executor().execute { runCatching(task).onFailure { exceptionCaught(context, it) } }
+
     override val isConnected: Boolean get() = context.channel().isActive
 
     override val isWritable: Boolean get() = context.channel().isWritable
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
@@ -16,7 +16,7 @@
  * Listens for callers' connections and sets up their pipelines.
  *
  * A connection is read until nothing more has arrived, so that its end is known together with a request that was read
- * late: see [Caller.isConnected][org.medlarhook.serving.call.Caller.isConnected].
+ * late: see [Caller.afterReads][org.medlarhook.serving.call.Caller.afterReads].
  */
 internal class CallerListener(
     private val group: EventLoopGroup,
