Count the deadline of a request that is read late from its arrival

A busy loop reads requests late, counted their deadlines from the reading, and accepted 16 connections a turn, so that later ones waited still longer. Now the loop observes its own delay: what it reads in the turn after it may have arrived since the observation before, and deadlines count from there. All waiting connections are accepted in one turn, and the first request on one that was accepted late has waited with it.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
@@ -11,7 +11,7 @@
  * @property service the service that was chosen among the targets of its route.
  * @property generation the size of the generation, or null for a call of a plain service.
  * @property workspace the workspace of its API key, or null if it needs no key.
- * @property arrivedAtMs when the request was read, on the monotonic clock.
+ * @property arrivedAtMs the earliest time at which the request can have arrived, on the monotonic clock.
  * @property deadlineAtMs when it gets its final answer at the latest, by the caller's or the route's limit.
  * @property priority 0 is the most urgent.
  * @property engine the capacity of the service's engines, or null for a plain service.
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -24,6 +24,7 @@
     val call: CallerCall,
     private val caller: Caller,
     requestOnConnection: Int,
+    private val arrivedAtMs: Long,
     private val onDone: () -> Unit,
 ) {
     private lateinit var demand: Demand
@@ -49,7 +50,7 @@
 
     /** Admits and places the request, or refuses it. */
     fun start() {
-        when (val admission = serving.admit(call)) {
+        when (val admission = serving.admit(call, arrivedAtMs)) {
             is Admission.Refused -> refuse(admission.code, admission.retryAfterMs)
             is Admission.Admitted -> {
                 demand = admission.demand
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -10,6 +10,7 @@
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamRegistry
+import org.medlarhook.core.serving.load.LoopObservation
 import org.medlarhook.core.serving.load.ServiceEstimates
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.Demand
@@ -61,6 +62,7 @@
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var estimates: PersistentMap<String, ServiceEstimates> = persistentMapOf()
     private var inFlight = 0
+    private var loopObservation = LoopObservation()
     private val waitingRequests = WaitingRequests()
 
     /** The retries that this process may send. */
@@ -147,8 +149,18 @@
         origins.stopping()
     }
 
-    /** Periodic work: compares the clocks, and drops expired registrations with their loads and idle connections. */
+    private fun observeLoop() {
+        loopObservation = loopObservation.observed(nowMs())
+        if (!loopObservation.isLate) return
+        schedule(nowMs() + LoopObservation.NEXT_TURN_MS) { loopObservation = loopObservation.caughtUp() }
+    }
+
+    /** The earliest time at which what is read now can have arrived. */
+    fun earliestArrivalMs(): Long = loopObservation.earliestArrivalMs(nowMs())
+
+    /** Periodic work, every [LoopObservation.PERIOD_MS]: compares the clocks, and drops expired registrations with their loads and idle connections. */
     fun tick() {
+        observeLoop()
         observeClocks()
         registry = registry.expire(nowMs())
         origins.prune()
@@ -160,8 +172,8 @@
     private fun isLeaving(upstream: Upstream): Boolean =
         availability.isLeaving(upstream.incarnation) || registry.find(upstream.id)?.isDraining != false
 
-    /** Counts a request as in flight, and admits it or refuses it by its route and key. */
-    fun admit(call: CallerCall): Admission {
+    /** Counts a request that arrived at [arrivedAtMs] as in flight, and admits it or refuses it by its route and key. */
+    fun admit(call: CallerCall, arrivedAtMs: Long): Admission {
         inFlight++
         val current = config ?: return Admission.Refused(ResultCode.NO_CONFIG, RETRY_WITHOUT_CONFIG_MS)
         val route = current.routes.find(call.host, call.path) ?: return Admission.Refused(ResultCode.NO_ROUTE, null)
@@ -184,8 +196,8 @@
                 service = service,
                 generation = call.generation,
                 workspace = workspace?.name,
-                arrivedAtMs = atMs,
-                deadlineAtMs = atMs + waitMs,
+                arrivedAtMs = arrivedAtMs,
+                deadlineAtMs = arrivedAtMs + waitMs,
                 priority = workspace?.priority ?: route.priority,
                 engine = current.services[service]?.engine,
             )
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -45,6 +45,13 @@
     private var exchange: Exchange? = null
     private var timer: Future<*>? = null
     private var requestsRead = 0
+    private var acceptedAtMs = 0L
+
+    /** The earliest time at which the caller can have connected. */
+    private var connectedAtMs = 0L
+
+    /** The earliest time at which the current request can have arrived. */
+    private var arrivedAtMs = 0L
     private var isKeepAlive = true
     private var isChunkless = false
     private var isClosing = false
@@ -55,6 +62,8 @@
 
     override fun channelActive(ctx: ChannelHandlerContext) {
         connections.opened(this)
+        acceptedAtMs = serving.nowMs()
+        connectedAtMs = serving.earliestArrivalMs()
         awaitRequest(idleMs = limits().idleTimeoutMs)
     }
 
@@ -87,11 +96,19 @@
 
     private fun beginRequest(message: HttpRequest) {
         request = message
+        arrivedAtMs = earliestArrivalMs()
         body = context.alloc().compositeBuffer(MAX_COMPONENTS)
         if (HttpUtil.is100ContinueExpected(message)) context.writeAndFlush(CONTINUE.retainedDuplicate())
         restartTimer(limits().headerTimeoutMs) { refuse(ResultCode.BODY_TIMEOUT) }
     }
 
+    /** The first request on a connection that was accepted late has waited with it. */
+    private fun earliestArrivalMs(): Long {
+        val readMs = serving.earliestArrivalMs()
+        val hasWaited = requestsRead == 0 && connectedAtMs < acceptedAtMs && readMs - acceptedAtMs <= FIRST_REQUEST_MS
+        return if (hasWaited) connectedAtMs else readMs
+    }
+
     private fun readContent(content: HttpContent) {
         val current = body ?: return
         if (content.decoderResult().isFailure) return refuse(ResultCode.MALFORMED_REQUEST)
@@ -113,7 +130,7 @@
             fullBody.release()
             return refuse(ResultCode.MALFORMED_REQUEST)
         }
-        val next = Exchange(serving, call, this, ++requestsRead) { exchangeDone() }
+        val next = Exchange(serving, call, this, ++requestsRead, arrivedAtMs) { exchangeDone() }
         exchange = next
         next.start()
     }
@@ -259,6 +276,9 @@
         /** Message parts that are queued behind a running exchange before reading is paused. */
         const val MAX_PIPELINED = 64
         const val MAX_COMPONENTS = 1_024
+
+        /** Callers send their first request right after they have connected; the rest covers a loop that is late. */
+        const val FIRST_REQUEST_MS = 1_000L
         val CONTINUE = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerListener.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.ServerChannelRecvByteBufAllocator
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpResponseEncoder
 import org.medlarhook.core.serving.fleet.Endpoint
@@ -33,6 +34,7 @@
                 .channel(NioServerSocketChannel::class.java)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, readsToTheEnd())
                 .childHandler(
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.nio.NioEventLoopGroup
+import org.medlarhook.core.serving.load.LoopObservation
 import org.medlarhook.core.serving.shutdown.ShutdownWindow
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
@@ -100,7 +101,9 @@
         awaitInitialState()
         warmUp()
         callers.open(settings.callers)
-        serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        serving.loop.scheduleAtFixedRate({
+            tick()
+        }, LoopObservation.PERIOD_MS, LoopObservation.PERIOD_MS, TimeUnit.MILLISECONDS)
         serving.loop.schedule({ startBackground() }, BACKGROUND_DELAY_MS, TimeUnit.MILLISECONDS)
         Gauge.builder("medlarhook.requests.in.flight") { serving.requestsInFlight }.register(meters)
         Gauge.builder("medlarhook.callers.connections") { callerConnections.openConnections }.register(meters)
@@ -191,9 +194,6 @@
         serving.loop.submit<String> { ServingStateDump.of(serving, callerConnections) }.get()
 
     private companion object {
-        /** Time between two checks of registrations and idle connections. */
-        const val TICK_MS = 100L
-
         /** A slow store answers within this; then callers are accepted, and refused until there is a configuration. */
         const val INITIAL_STATE_TIMEOUT_MS = 1_500L
         const val INITIAL_STATE_POLL_MS = 10L
