Leave a connection that was just accepted open while the process stops

Callers saw a connection closed without an answer: a stopping process closes connections without a request every 100 ms, also those whose first request had not arrived yet. GracefulStopTest ("a stream arrives that may outlast the grace period") showed it once, at a load average of 22: an empty answer where 503 was expected. Now a connection is idle only after a request, or a second after it was accepted; this delays the end of a stop by a second at most.

ConnectionAtStopTest, a request 300 ms after its connection: before, no answer; now 200.

--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -225,9 +225,13 @@
         return ChannelFutureListener.CLOSE
     }
 
-    /** Closes the connection after its pending output, if no request is on it and it is not closing yet. */
+    /**
+     * Closes the connection after its pending output, if no request is on it, it is not closing yet, and the caller has
+     * had time for a first request.
+     */
     fun closeIfIdle() {
         if (isClosing || exchange != null || request != null || pipelined.isNotEmpty()) return
+        if (requestsRead == 0 && serving.nowMs() - acceptedAtMs < FIRST_REQUEST_MS) return
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(closeWhenWritten())
     }
 
