Let the usage reporter be driven step by step

UsageReporter reached the request path by tasks of its event loop and ran its steps only in a thread of its own, so that no test could bring several of them into a chosen order of events.

What it needs of the request path is behind RequestUsage now, with LoopUsage for the event loop, and one step can be called by itself.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -14,7 +14,6 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
-import org.medlarhook.serving.call.ServingLoop
 import org.medlarhook.serving.process.ServingBounds
 import org.medlarhook.serving.process.StoreEra
 import java.util.concurrent.TimeUnit
@@ -34,13 +33,12 @@
  */
 internal class UsageReporter(
     private val process: String,
-    private val serving: ServingLoop,
+    private val requests: RequestUsage,
     tables: TableService,
     clock: StoreClock,
     reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
-    private val peer: ReportedPeer,
     private val era: StoreEra,
 ) {
     private val scope = LeaseScope("usage")
@@ -74,12 +72,20 @@
         thread(name = "usage", isDaemon = true) {
             while (!isStopped) {
                 val begunAtMs = time.monotonicMs()
-                stepLock.withLock { if (!isStopped) stepCatching() }
-                Thread.sleep((PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS))
+                step()
+                Thread.sleep(pauseMs(begunAtMs))
             }
         }
     }
 
+    /** Runs one step, unless the last counts are published. An error in it is logged and does not end the caller. */
+    fun step() {
+        stepLock.withLock { if (!isStopped) stepCatching() }
+    }
+
+    /** Returns the time until the next step after one that began at [begunAtMs]. */
+    fun pauseMs(begunAtMs: Long): Long = (PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS)
+
     /** Releases the lease; requests that are still served are counted and published as before. */
     fun releaseLease() {
         stepLock.withLock { lease.release() }
@@ -93,28 +99,25 @@
             return logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "last counts", "cause" to "step too slow")
         }
         try {
-            onLoop { serving.usage }?.let { publish(it, time.monotonicMs(), isClosing = true) }
+            requests.read()?.let { publish(it, time.monotonicMs(), isClosing = true) }
         } finally {
             stepLock.unlock()
         }
     }
 
-    /** Runs a step and logs an error in it, so that the error does not end the thread. */
     private fun stepCatching() {
-        runCatching { step() }.onFailure {
+        runCatching { performStep() }.onFailure {
             logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage step", "cause" to it.toString())
         }
     }
 
-    private fun step() {
-        val usage = onLoop { serving.usage } ?: return
+    private fun performStep() {
+        val usage = requests.read() ?: return
         val currentEra = era.current
         val nowMs = time.monotonicMs()
         if (currentEra != null) noticeEra(currentEra, nowMs)
         if (usage.offsetMs == null) {
-            sharedClock.agree(nowMs)?.let { offsetMs ->
-                onLoop { serving.updateUsage { it.withOffset(offsetMs) } }
-            }
+            sharedClock.agree(nowMs)?.let { offsetMs -> requests.update { it.withOffset(offsetMs) } }
             return
         }
         drill.recover(nowMs, usage.offsetMs!!)
@@ -151,7 +154,7 @@
                     counts = usage.counts[window].orEmpty(),
                     isClosed = isClosing || window < current,
                     isLast = isClosing && window == current,
-                    peer = peer.address()?.toString(),
+                    peer = requests.peerAddress(),
                 )
                 if (published[window] == next) null else window to next
             }
@@ -167,7 +170,7 @@
         val oldest = current - lookBackWindows - KEPT_WINDOWS
         published.keys.removeIf { it < oldest }
         reports.forgetBefore(oldest)
-        onLoop { serving.updateUsage { it.forgetBefore(oldest) } }
+        requests.update { it.forgetBefore(oldest) }
     }
 
     /** Reads the processes that have published the window before [current]; all of them read it at about this time. */
@@ -185,9 +188,7 @@
             processesReadInWindow = current
             nextProcessesReadAtMs = nowMs
             processes = counts.continuing
-            if (processes.isNotEmpty()) onLoop { serving.retryBudgets.setProcessCount(processes.size) }
-            onLoop { peer.onProcessesRead(counts.peers) }
-            onLoop { serving.availability.share = shareIn(current, usage, nowMs) }
+            requests.onProcessesRead(counts, shareIn(current, usage, nowMs))
         }
     }
 
@@ -227,11 +228,6 @@
         isHolding = holds
     }
 
-    private fun <T : Any> onLoop(task: () -> T): T? =
-        runCatching { serving.loop.submit(task).get(LOOP_TIMEOUT_MS, TimeUnit.MILLISECONDS) }
-            .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "loop", "cause" to it.toString()) }
-            .getOrNull()
-
     private companion object {
         /** Time between two steps; delays the take-over of an expired lease by at most this much. */
         const val PERIOD_MS = 500L
@@ -259,8 +255,6 @@
         /** Windows that are kept in addition to those that may still be due. */
         const val KEPT_WINDOWS = 5L
 
-        const val LOOP_TIMEOUT_MS = 2_000L
-
         /** Timeout of the slowest outward call, the delivery of a report. */
         const val LONGEST_CALL_MS = 800L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -16,6 +16,7 @@
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.ServingLoop
+import org.medlarhook.serving.duty.LoopUsage
 import org.medlarhook.serving.duty.ReportedPeer
 import org.medlarhook.serving.duty.StoreClock
 import org.medlarhook.serving.duty.UsageReporter
@@ -60,13 +61,12 @@
     private val usageReporter =
         UsageReporter(
             settings.process,
-            serving,
+            LoopUsage(serving, ReportedPeer({ peers?.boundAddress }) { addresses -> peers?.update(addresses) }),
             ports.tables,
             ports.clock,
             ports.reporting,
             settings.bounds,
             time,
-            ReportedPeer({ peers?.boundAddress }) { addresses -> peers?.update(addresses) },
             ports.era,
         )
     private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
