Agree on the shared clock again after a suspension or a drill

Seen: a usage window reported twice with different counts after a drill that set the store's clock back while no process that knew the clock before could say so in time; and a process that counts in windows of the past for life.

Cause: the offset of the shared clock was agreed once per process. A process whose monotonic clock does not count a suspension stayed behind by as much, and wrote its offset back after a drill. The beginning of an era was written from the clock of whichever process came first, also one that had read an old offset beside a store's clock that had gone back, so that a sum which might be lost was formed again.

Change: offset and beginning of the era stand in one row of the era, on the store's clock; a raised offset moves the beginning too. A process that lived through the rise writes it from its own clock. Without one, the later of wall clock and old row is taken, and a beginning 10 s later. A process compares its clock with the wall clock, in both directions, and with the store's clock in the answers of reads that it makes anyway; while it is in doubt it publishes and sums up nothing and keeps requests by monotonic time. A sum is written on condition that the row of the clock is unchanged.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/FrozenWindows.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/FrozenWindows.kt
@@ -18,12 +18,12 @@
 private val logger = KotlinLogging.logger {}
 
 /**
- * The sums of usage windows, each of which is formed once and kept in the store, so that every holder of the usage lease
- * reports the same counts.
+ * The sums of usage windows, each of which is formed once and kept in the store, so that every holder of the usage
+ * lease reports the same counts.
  *
  * A sum counts only in the era of the store in which it was written: the copy from which a store comes back after a
- * drill may lack it, or hold one that was written too late to be reported. So a process remembers the sums that it could
- * report, and writes them again in the next era.
+ * drill may lack it, or hold one that was written too late to be reported. So a process remembers the sums that it
+ * could report, and writes them again in the next era.
  */
 internal class FrozenWindows(
     private val tables: TableService,
@@ -33,31 +33,44 @@
 
     /**
      * Returns the counts to report of [window] under [authority]: those in the store or remembered, else the result of
-     * [sum], which is written first. Returns null if none is there, or if the store did not confirm that no successor has
-     * taken over.
+     * [sum], which is written first. Returns null if none is there, or if the store did not confirm that no successor
+     * has taken over and that no process has raised [sharedClock].
      */
-    fun freeze(window: Long, authority: Authority, sum: () -> Map<String, Long>?): Map<String, Long>? {
+    fun freeze(
+        window: Long,
+        authority: Authority,
+        sharedClock: SharedClock,
+        sum: () -> Map<String, Long>?,
+    ): Map<String, Long>? {
         val tableEra = authority.scope.tableEra
         val key = keyOf(window, tableEra)
         val existing = tables.read(key).getOrElse { return null }
         val known = existing?.let { RowJson.decode<FrozenWindow>(it.value).counts } ?: remembered[window]
         val counts = known ?: sum() ?: return null
-        val conditions = listOf(authority.condition(), Condition(key, existing?.version ?: Condition.ABSENT))
-        val isWritten = tables.transact(Transaction(conditions, listOf(write(key, counts)))).isRight()
-        if (!isWritten || era.current != tableEra) return null
-        remembered[window] = counts
-        if (known == null) {
-            logger.event(
-                LogEvent.WINDOW_FROZEN,
-                "window" to window,
-                "counts" to counts,
-                "era" to tableEra,
-                "epoch" to authority.epoch,
+        val conditions =
+            listOfNotNull(
+                authority.condition(),
+                sharedClock.condition,
+                Condition(key, existing?.version ?: Condition.ABSENT),
             )
-        }
+        val written = tables.transact(Transaction(conditions, listOf(write(key, counts))))
+        written.onLeft { if (it is TableFailure.Conflict) sharedClock.outdate() }
+        if (written.isLeft() || era.current != tableEra) return null
+        remembered[window] = counts
+        if (known == null) log(window, counts, authority)
         return counts
     }
 
+    private fun log(window: Long, counts: Map<String, Long>, authority: Authority) {
+        logger.event(
+            LogEvent.WINDOW_FROZEN,
+            "window" to window,
+            "counts" to counts,
+            "era" to authority.scope.tableEra,
+            "epoch" to authority.epoch,
+        )
+    }
+
     /** Writes the remembered sums in [tableEra], unless they are there; returns false if one could not be written. */
     fun writeAgain(tableEra: Long): Boolean =
         remembered.all { (window, counts) ->
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -1,8 +1,13 @@
 package org.medlarhook.serving.duty
 
 import arrow.core.getOrElse
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.usage.SharedClockChoice
+import org.medlarhook.core.serving.usage.SharedClockRow
+import org.medlarhook.core.serving.usage.SharedClockState
 import org.medlarhook.core.serving.usage.StoreClockSample
 import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
 import org.medlarhook.ports.RowKey
 import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
@@ -11,8 +16,11 @@
 import org.medlarhook.serving.process.StoreEra
 
 /**
- * The clock by which all processes number the usage windows: the store's clock plus an offset that the first process
- * has written.
+ * The clock by which all processes number the usage windows: the store's clock plus an offset on which they agree in a
+ * row of each era of the store.
+ *
+ * Answers that this process gets anyway show whether its own clock still runs with the store's; only if they don't, or
+ * after a rise of the era, the row is read again.
  */
 internal class SharedClock(
     private val tables: TableService,
@@ -20,62 +28,106 @@
     private val time: TimeSource,
     private val era: StoreEra,
 ) {
-    private var absentSinceMs: Long? = null
-
-    /**
-     * Returns the shared clock minus the monotonic clock at [nowMs], or null if that is not known yet.
-     *
-     * In a later era of the store, an absent row was lost in a drill; the processes that know it write it again, so that
-     * others wait for [AWAITED_MS] before they write their own.
-     */
-    fun agree(nowMs: Long): Long? {
-        val sample = sample() ?: return null
-        val row = tables.read(KEY).getOrElse { return null }
-        if (row == null && !mayWriteFirst(nowMs)) return null
-        val ownOffsetMs = time.wallMs() - time.monotonicMs() - sample.storeMinusMonotonicMs
-        if (row == null) {
-            tables.transact(Transaction(listOf(Condition(KEY, Condition.ABSENT)), listOf(Write(KEY, "$ownOffsetMs"))))
-        }
-        val agreed = row ?: tables.read(KEY).getOrNull()
-        return agreed?.value?.toLongOrNull()?.plus(sample.storeMinusMonotonicMs)
+    private var state = SharedClockState()
+    private var noticedEra: Long? = null
+    private var noticedAtMs = 0L
+    private var isOutdated = false
+
+    /** The shared clock minus the monotonic clock, or null before the first agreement. */
+    val offsetMs: Long? get() = state.offsetMs
+
+    /** True while nothing tells that the clock of this process has stood still since the last agreement. */
+    val isSure: Boolean get() = state.isSure
+
+    /** When the agreed era began, on the shared clock; null in the first era. */
+    val beganAtMs: Long? get() = state.beganAtMs
+
+    /** Holds in the agreed era of the store as long as no process has raised the shared clock. */
+    var condition: Condition? = null
+        private set
+
+    /** True if the processes agree in [tableEra], and this process knows no reason to read the row again. */
+    fun isAgreedIn(tableEra: Long): Boolean = state.isSure && !isOutdated && state.agreedEra == tableEra
+
+    /** Records that [current] is the era of the store at [nowMs], so that it began before that. */
+    fun notice(current: Long, nowMs: Long) {
+        if (current == noticedEra) return
+        noticedEra = current
+        noticedAtMs = nowMs
+    }
+
+    /** Compares the clocks, as far as that takes no call. */
+    fun observe() {
+        state = state.observed(time.monotonicMs(), time.wallMs())
+        clock.latest()?.let { state = state.observed(it) }
+    }
+
+    /** Has the row read again, since another process may have raised the shared clock. */
+    fun outdate() {
+        isOutdated = true
+    }
+
+    /** Reads the row of the current era, and writes it if this process has to; false if that must be tried again. */
+    fun agree(): Boolean {
+        observe()
+        val begunAtMs = time.monotonicMs()
+        val rows = tables.scan(TABLE).getOrElse { return false }
+        val sample = sampleSince(begunAtMs) ?: return false
+        notice(sample.era, begunAtMs)
+        val row = rows.find { it.key == keyOf(sample.era) }
+        val agreed = agreed(row, latestBefore(sample.era, rows), sample) ?: return false
+        return accept(agreed.first, agreed.second, sample)
+    }
+
+    /** Follows [row], unless the process was suspended or the era has risen while it was read. */
+    private fun accept(row: SharedClockRow, version: Long, sample: StoreClockSample): Boolean {
+        if (era.current != sample.era || state.hasJumped(time.wallMs() - time.monotonicMs())) return false
+        condition = Condition(keyOf(sample.era), version)
+        state = state.agreed(row, sample)
+        isOutdated = false
+        return true
     }
 
-    private fun mayWriteFirst(nowMs: Long): Boolean {
-        val sinceMs = absentSinceMs ?: nowMs.also { absentSinceMs = it }
-        return era.current == 0L || nowMs - sinceMs >= AWAITED_MS
+    /** Returns the row that the processes agree on, with its version, or null if that is not known yet. */
+    private fun agreed(row: Row?, before: SharedClockRow?, sample: StoreClockSample): Pair<SharedClockRow, Long>? {
+        val current = row?.let { decode(it) }
+        val wallGapMs = time.wallMs() - time.monotonicMs()
+        return when (val choice = SharedClockChoice.of(state, current, before, sample, noticedAtMs, wallGapMs)) {
+            is SharedClockChoice.Await -> null
+            is SharedClockChoice.Follow -> current!! to row.version
+            is SharedClockChoice.Write -> write(choice.row, keyOf(sample.era), row?.version ?: Condition.ABSENT)
+        }
     }
 
-    /**
-     * Writes the offset again if a drill of the store has lost it or set the store's clock back.
-     *
-     * @param offsetMs the shared clock minus the monotonic clock, as this process knows it.
-     * @return the same as the rows give it if that is more, else [offsetMs]; null if the store does not answer, or does
-     * not confirm the write.
-     */
-    fun restore(offsetMs: Long): Long? {
-        val sample = sample() ?: return null
-        val row = tables.read(KEY).getOrElse { return null }
-        val agreedMs = row?.value?.toLongOrNull()?.plus(sample.storeMinusMonotonicMs)
-        if (agreedMs != null && agreedMs > offsetMs - GREATEST_DIFFERENCE_MS) return maxOf(agreedMs, offsetMs)
-        val write = Write(KEY, "${offsetMs - sample.storeMinusMonotonicMs}")
-        val transaction = Transaction(listOf(Condition(KEY, row?.version ?: Condition.ABSENT)), listOf(write))
-        return tables.transact(transaction).fold({ null }, { offsetMs })
+    private fun write(content: SharedClockRow, key: RowKey, expectedVersion: Long): Pair<SharedClockRow, Long>? {
+        val transaction =
+            Transaction(listOf(Condition(key, expectedVersion)), listOf(Write(key, RowJson.encode(content))))
+        return tables.transact(transaction).getOrNull()?.let { content to it.version }
     }
 
     /** Returns null also if the process was suspended during the call, which would make the sample wrong by as much. */
-    private fun sample(): StoreClockSample? {
+    private fun sampleSince(begunAtMs: Long): StoreClockSample? {
+        val sample = clock.latest()?.takeIf { it.sentAtMs >= begunAtMs } ?: read()
+        return sample?.takeIf { it.tookMs <= SharedClockChoice.GREATEST_DIFFERENCE_MS && it.era == era.current }
+    }
+
+    private fun read(): StoreClockSample? {
         val sentAtMs = time.monotonicMs()
         val storeMs = clock.readMs() ?: return null
-        return StoreClockSample(storeMs, sentAtMs, time.monotonicMs()).takeIf { it.tookMs <= GREATEST_DIFFERENCE_MS }
+        return StoreClockSample(storeMs, sentAtMs, time.monotonicMs(), era.current ?: 0)
     }
 
-    companion object {
-        private val KEY = RowKey("clock", "offset")
+    private fun latestBefore(current: Long, rows: List<Row>): SharedClockRow? =
+        rows.filter { eraOf(it) < current }.maxByOrNull { eraOf(it) }?.let { decode(it) }
+
+    private fun decode(row: Row): SharedClockRow = RowJson.decode<SharedClockRow>(row.value)
+
+    private fun eraOf(row: Row): Long = row.key.key.substringAfter('@', "0").toLong()
 
-        /** Processes that know what a drill has lost write it again within a second; the rest covers slow calls. */
-        const val AWAITED_MS = 2_000L
+    private fun keyOf(tableEra: Long): RowKey = RowKey(TABLE, if (tableEra == 0L) ROW else "$ROW@$tableEra")
 
-        /** Clocks of two processes differ by less, if neither call to the store took longer. */
-        private const val GREATEST_DIFFERENCE_MS = 1_000L
+    private companion object {
+        const val TABLE = "clock"
+        const val ROW = "offset"
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -45,10 +45,10 @@
     private val lease = LeaseManager(scope, process, leaseSettings(bounds), tables, time, { era.current ?: 0 })
     private val sharedClock = SharedClock(tables, clock, time, era)
     private val frozenWindows = FrozenWindows(tables, era)
-    private val drill = DrillRecovery(process, tables, era, sharedClock, frozenWindows)
+    private val drill = DrillRecovery(process, era, sharedClock, frozenWindows)
     private val counts = UsageCounts(process, tables)
     private val reports =
-        WindowReports(process.substringBefore('#'), lease, counts, frozenWindows, reporting, bounds, time)
+        WindowReports(process.substringBefore('#'), lease, counts, frozenWindows, sharedClock, reporting, bounds, time)
     private val jitter = Jitter(FULL_SPREAD_PERCENT, process)
     private val lookBackWindows = maxOf(MIN_LOOK_BACK_WINDOWS, bounds.usageLateMs / bounds.usageWindowMs)
     private val published = HashMap<Long, ProcessCount>()
@@ -112,15 +112,10 @@
     }
 
     private fun performStep() {
-        val usage = requests.read() ?: return
         val currentEra = era.current
         val nowMs = time.monotonicMs()
         if (currentEra != null) noticeEra(currentEra, nowMs)
-        if (usage.offsetMs == null) {
-            sharedClock.agree(nowMs)?.let { offsetMs -> requests.update { it.withOffset(offsetMs) } }
-            return
-        }
-        drill.recover(nowMs, usage.offsetMs!!)
+        val usage = agreedUsage(currentEra, nowMs) ?: return
         if (nowMs >= nextPublishAtMs) {
             publish(usage, nowMs, isClosing = false)
             nextPublishAtMs = nowMs + PUBLISH_EVERY_MS
@@ -134,10 +129,24 @@
             nextReportAtMs = nowMs + REPORT_EVERY_MS
             val eraStart = drill.start ?: return
             val sharedMs = usage.sharedClockMs(nowMs)!!
-            (maxOf(first, current - lookBackWindows)..current - 1).forEach { reports.report(it, eraStart, sharedMs) }
+            for (window in maxOf(first, current - lookBackWindows)..<current) {
+                reports.report(window, eraStart, sharedMs)
+            }
         }
     }
 
+    /** Returns the counts once their windows are sure, which takes an agreement on the shared clock. */
+    private fun agreedUsage(currentEra: Long?, nowMs: Long): UsageWindows? {
+        sharedClock.observe()
+        if (sharedClock.offsetMs != null && !sharedClock.isSure) requests.update { it.doubted() }
+        if (currentEra == null) sharedClock.agree() else drill.recover(nowMs)
+        val offsetMs = sharedClock.offsetMs?.takeIf { sharedClock.isSure } ?: return null
+        val usage = requests.read() ?: return null
+        if (usage.offsetMs == offsetMs && !usage.isInDoubt) return usage
+        requests.update { it.withOffset(offsetMs) }
+        return requests.read()?.takeIf { it.offsetMs == offsetMs }
+    }
+
     /** After a drill of the store, publishes all counts again that may be lost, in addition to what is due. */
     private fun noticeEra(currentEra: Long, nowMs: Long) {
         if (!drill.notice(currentEra, nowMs)) return
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.core.lease.Authority
 import org.medlarhook.core.lease.LeaseManager
 import org.medlarhook.core.serving.usage.SumPermission
 import org.medlarhook.core.serving.usage.WindowCounts
@@ -23,6 +24,7 @@
     private val lease: LeaseManager,
     private val counts: UsageCounts,
     private val frozenWindows: FrozenWindows,
+    private val sharedClock: SharedClock,
     private val reporting: WindowReporting,
     private val bounds: ServingBounds,
     private val time: TimeSource,
@@ -54,7 +56,7 @@
     /** Reports a window whose sum another process has written again after a drill, or leaves it out. */
     private fun deliverExisting(window: Long, eraStart: DrillRecovery.EraStart, endedMs: Long) {
         val authority = authorityIn(eraStart) ?: return
-        val sum = frozenWindows.freeze(window, authority) { null }
+        val sum = freeze(window, authority) { null }
         if (sum != null) return deliver(window, sum, eraStart, endedMs, "writtenAgain" to true)
         val isDueSoon = endedMs >= bounds.usageLateMs - bounds.usageWindowMs
         if (isDueSoon && leftOutWindows.add(window)) {
@@ -69,10 +71,23 @@
         val isWhole = current.isWhole(earlier)
         if (!isWhole && endedMs < bounds.usageLateMs - LATE_MARGIN_MS) return
         val authority = authorityIn(eraStart) ?: return
-        val sum = frozenWindows.freeze(window, authority) { current.sum() } ?: return
+        val sum = freeze(window, authority) { current.sum() } ?: return
         deliver(window, sum, eraStart, endedMs, "processes" to current.byProcess.size, "isWhole" to isWhole)
     }
 
+    /** Freezes the sum unless an answer of the store shows that the clock of this process has stood still. */
+    private fun freeze(window: Long, authority: Authority, sum: () -> Map<String, Long>?): Map<String, Long>? =
+        if (isStillSure()) {
+            frozenWindows.freeze(window, authority, sharedClock) { sum()?.takeIf { isStillSure() } }
+        } else {
+            null
+        }
+
+    private fun isStillSure(): Boolean {
+        sharedClock.observe()
+        return sharedClock.isSure
+    }
+
     private fun authorityIn(eraStart: DrillRecovery.EraStart) =
         lease.authority()?.takeIf { it.scope.tableEra == eraStart.era }
 
--- /dev/null
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/SharedClockTest.kt
@@ -0,0 +1,77 @@
+package org.medlarhook.serving.duty
+
+import org.medlarhook.core.lease.Authority
+import org.medlarhook.core.lease.LeaseScope
+import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.usage.SharedClockRow
+import org.medlarhook.fakes.InMemoryTableService
+import org.medlarhook.fakes.ManualTimeSource
+import org.medlarhook.ports.Condition
+import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TimeSource
+import org.medlarhook.ports.Transaction
+import org.medlarhook.ports.Write
+import org.medlarhook.serving.process.StoreEra
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertNotNull
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+
+class SharedClockTest {
+    private val world = ManualTimeSource()
+    private val tables = InMemoryTableService()
+    private val era = object : StoreEra {
+        override var current: Long? = 0
+    }
+
+    /** The time that a suspension of the process under test took, which its monotonic clock does not count. */
+    private var suspendedMs = 0L
+    private val time = object : TimeSource {
+        override fun monotonicMs(): Long = world.monotonicMs() - suspendedMs
+
+        override fun wallMs(): Long = world.wallMs()
+    }
+    private val storeClock = object : StoreClock {
+        override fun readMs(): Long = world.monotonicMs()
+    }
+    private val clock = SharedClock(tables, storeClock, time, era)
+    private val frozen = FrozenWindows(tables, era)
+    private val authority = Authority(LeaseScope("usage"), epoch = 1, Condition.ABSENT, Long.MAX_VALUE)
+
+    private fun raise(byMs: Long) {
+        val row = assertNotNull(tables.read(KEY).getOrNull())
+        val raised = RowJson.decode<SharedClockRow>(row.value).let { it.copy(offsetMs = it.offsetMs + byMs) }
+        tables.transact(Transaction(listOf(Condition(KEY, row.version)), listOf(Write(KEY, RowJson.encode(raised)))))
+    }
+
+    @Test
+    fun `Given a suspension, then the process is in doubt until it agrees, and is then no longer behind`() {
+        assertTrue(clock.agree())
+        val offsetMs = clock.offsetMs!!
+        suspendedMs = 5_000
+        world.advance(5_000)
+        clock.observe()
+        assertFalse(clock.isSure)
+
+        assertTrue(clock.agree())
+        assertTrue(clock.isSure)
+        assertEquals(offsetMs + 5_000, clock.offsetMs)
+    }
+
+    @Test
+    fun `Given that another process has raised the shared clock, then no sum is written before the process follows`() {
+        assertTrue(clock.agree())
+        raise(byMs = 4_000)
+
+        assertNull(frozen.freeze(7, authority, clock) { mapOf("w" to 1L) })
+        assertFalse(clock.isAgreedIn(0))
+        assertTrue(clock.agree())
+        assertEquals(mapOf("w" to 1L), frozen.freeze(7, authority, clock) { mapOf("w" to 1L) })
+    }
+
+    private companion object {
+        val KEY = RowKey("clock", "offset")
+    }
+}
