Count a suspension that the monotonic clock does not count against the lease

Seen, with SuspendedHolderTest on the code before (four of four cases failed): a holder that was suspended until another one had taken over could still act when it went on, also where its wall clock had jumped back meanwhile, and an answer to a renewal that was open during the suspension gave it authority.

Cause: the end of a lease was measured on the monotonic clock alone.

Change: the manager compares that clock with the wall clock when authority is asked for and when an answer has come, and measures the lease from as much earlier as the wall clock is ahead. A jump back, which may hide a suspension, and a doubt about the shared clock let the lease count as expired until it is renewed.

Result: the four cases pass, and so do LeaseDrillTest and LeaseTakeOverTest.

--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
@@ -35,6 +35,27 @@
             LeaseState.Watching(Condition.ABSENT, null, earlier.writes, nowMs + jitter.spread(settings.retryMs, 0))
         }
 
+    /**
+     * Returns [state] with the lease measured from [stoodStillMs] earlier: the monotonic clock has not counted that time,
+     * in which the lease went on.
+     */
+    public fun resumed(state: LeaseState, stoodStillMs: Long): LeaseState =
+        when (state) {
+            is LeaseState.Watching, is LeaseState.Released -> state
+            is LeaseState.Holding ->
+                state.copy(lease = state.lease.measuredEarlier(stoodStillMs), nextAtMs = state.nextAtMs - stoodStillMs)
+            is LeaseState.Writing ->
+                state.copy(
+                    write = state.write.copy(
+                        firstSentAtMs = state.write.firstSentAtMs - stoodStillMs,
+                        held = state.write.held?.measuredEarlier(stoodStillMs),
+                    ),
+                )
+        }
+
+    private fun HeldLease.measuredEarlier(byMs: Long): HeldLease =
+        copy(authority = authority.copy(validUntilMs = authority.validUntilMs - byMs))
+
     /** Returns the next state and action after [event] at [nowMs]. */
     public fun next(state: LeaseState, event: LeaseEvent, nowMs: Long): LeaseStep =
         when (state) {
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseManager.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseManager.kt
@@ -12,6 +12,10 @@
  *
  * Authority ends as soon as the era of the tables rises; the lease is then acquired anew in the rows of that era.
  *
+ * The monotonic clock may not count a suspension of the VM, so that it is compared with the wall clock whenever authority
+ * is asked for or an answer has come. By what the wall clock is ahead the lease is shorter. A wall clock that jumps back may
+ * hide a suspension of any length, after which the lease counts as expired until it is renewed.
+ *
  * @param era the era of the tables, see [LeaseScope.tableEra].
  * @param mayAcquire false if the process already holds or acquires as many leases as it may.
  */
@@ -32,13 +36,39 @@
     private val lock = Any()
     private var action: LeaseAction? = null
 
+    @Volatile
+    private var wallGapMs = readWallGapMs()
+
     /** The current state, also shown in state dumps. */
     @Volatile
     public var state: LeaseState = machine.start(time.monotonicMs())
         private set
 
     /** Returns the authority of the process, which may have expired, or null if it is not the holder. */
-    public fun authority(): Authority? = machine.authority(state)?.takeIf { it.scope.tableEra == era() }
+    public fun authority(): Authority? =
+        machine.authority(machine.resumed(state, stoodStillMs(readWallGapMs())))?.takeIf { it.scope.tableEra == era() }
+
+    /** Has the lease count as expired until it is renewed, since the process may have been suspended. */
+    public fun distrust() {
+        synchronized(lock) { state = machine.resumed(state, settings.durationMs) }
+    }
+
+    private fun readWallGapMs(): Long = time.wallMs() - time.monotonicMs()
+
+    private fun stoodStillMs(gapMs: Long): Long {
+        val jumpMs = gapMs - wallGapMs
+        return when {
+            jumpMs > MAX_CLOCK_JUMP_MS -> jumpMs
+            jumpMs < -MAX_CLOCK_JUMP_MS -> settings.durationMs
+            else -> 0
+        }
+    }
+
+    private fun compareClocks() {
+        val gapMs = readWallGapMs()
+        state = machine.resumed(state, stoodStillMs(gapMs))
+        wallGapMs = gapMs
+    }
 
     /** True if the process holds the lease, or a write of the lease row is under way. */
     public fun holdsOrAcquires(): Boolean = state is LeaseState.Holding || state is LeaseState.Writing
@@ -77,6 +107,7 @@
     }
 
     private fun advance(event: LeaseEvent): Boolean {
+        compareClocks()
         val step = machine.next(state, event, time.monotonicMs())
         state = step.state
         action = step.action
@@ -114,4 +145,9 @@
             },
             { LeaseEvent.Written(it.version) },
         )
+
+    private companion object {
+        /** Clocks drift far less between two steps; the margin and the time of a call cover shorter suspensions. */
+        const val MAX_CLOCK_JUMP_MS = 300L
+    }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -138,7 +138,10 @@
     /** Returns the counts once their windows are sure, which takes an agreement on the shared clock. */
     private fun agreedUsage(currentEra: Long?, nowMs: Long): UsageWindows? {
         sharedClock.observe()
-        if (sharedClock.offsetMs != null && !sharedClock.isSure) requests.update { it.doubted() }
+        if (sharedClock.offsetMs != null && !sharedClock.isSure) {
+            lease.distrust()
+            requests.update { it.doubted() }
+        }
         if (currentEra == null) sharedClock.agree() else drill.recover(nowMs)
         val offsetMs = sharedClock.offsetMs?.takeIf { sharedClock.isSure } ?: return null
         val usage = requests.read() ?: return null
