--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -230,11 +230,13 @@
      * had time for a first request.
      */
     fun closeIfIdle() {
-        if (isClosing || exchange != null || request != null || pipelined.isNotEmpty()) return
+        if (isClosing || hasRequest()) return
         if (requestsRead == 0 && serving.nowMs() - acceptedAtMs < FIRST_REQUEST_MS) return
         context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(closeWhenWritten())
     }
 
+    private fun hasRequest(): Boolean = exchange != null || request != null || pipelined.isNotEmpty()
+
     /**
      * Ends the request on the connection, if there is one, and closes the connection. Resets it if output is pending,
      * so that the caller can't mistake a truncated answer for a complete one.
