Infer the version of a stream only from a read of the registry after it was taken up

What callers saw: while engines of a new version joined, a process was out of step for some seconds. Streams that had begun on the new engines through other processes broke, were taken up at that process and went on at the old version.

Cause: an absence of news was read as news of absence. `StreamVersions.singleVersion` accepted a registry whose last read had begun up to 5 s ago and inferred that a stream without a record had begun at the only version known here. The same held for a process that answered another one's question. Three smaller ones beside it: a version that left counted from the begin of the read that showed it; upstreams that came and left between two reads were not seen at all; a list counted as watched from the begin of its read.

Why the fix works: a version is registered before any process can use it. A read of the registry that begins after the stream was taken up, with all changes before it known, therefore shows each version at which the stream can have begun, whatever clocks, datagrams and links do. Such a read is one short call for all streams that wait (`RegistryConfirmations`); without it only a record counts, else the request is refused as not run. Another process may answer for an earlier time up to a position of the registry in the same era, instead of by its clock.

`StreamVersionsTest` passes the time since when a read must have begun, which was fixed to 5 s; its bounds are the same.

--- a/core/src/test/kotlin/org/medlarhook/core/serving/StreamVersionsTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/StreamVersionsTest.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.core.serving
 
+import org.medlarhook.core.serving.fleet.RegistryPosition
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.resume.BegunStream
 import org.medlarhook.core.serving.resume.StreamOrigin
@@ -18,7 +19,13 @@
         registryChanged(registered.toList(), registered.toList(), nowMs)
 
     private fun StreamVersions.single(nowMs: Long, vararg registered: String) =
-        singleVersion("lm", listOf(first, second).filter { it.id in registered }, durationMs = 2_000, nowMs)
+        singleVersion(
+            "lm",
+            listOf(first, second).filter { it.id in registered },
+            durationMs = 2_000,
+            confirmedSinceMs = nowMs - StreamVersions.REGISTRATION_DELAY_MS,
+            nowMs,
+        )
 
     private fun StreamVersions.began(attemptId: String, version: String, remainingMs: Long, nowMs: Long = 0) =
         began(BegunStream("w", attemptId, "lm", version, remainingMs), nowMs)
@@ -97,11 +104,53 @@
         assertEquals("v1", back.watchedUntil(70_000, first).single(70_000, "e1"))
     }
 
+    @Test
+    fun `Given a stream taken up after the last read of the registry, then no version is known until the next read`() {
+        val read = watched.watchedUntil(29_999, first)
+
+        assertNull(read.singleVersion("lm", listOf(first), 2_000, confirmedSinceMs = 30_000, nowMs = 30_010))
+        val confirmed = read.registryConfirmed(30_000, RegistryPosition(0, 5))
+        assertEquals(
+            "v1",
+            confirmed.singleVersion("lm", listOf(first), 2_000, confirmedSinceMs = 30_000, nowMs = 30_010),
+        )
+    }
+
+    @Test
+    fun `Given a process that began to watch later, then others answer it only with all changes up to there`() {
+        val known = watched.registryChanged(listOf(first), listOf(first), 30_000, position = RegistryPosition(1, 7))
+
+        fun answer(era: Long, version: Long) =
+            known.singleVersionUpTo(RegistryPosition(era, version), "lm", listOf(first), 2_000, 30_000)
+        assertEquals("v1", answer(era = 1, version = 7))
+        assertNull(answer(era = 1, version = 8))
+        assertNull(answer(era = 0, version = 7))
+        assertNull(answer(era = 2, version = 7))
+        assertNull(known.registryLost().singleVersionUpTo(RegistryPosition(1, 7), "lm", listOf(first), 2_000, 30_000))
+    }
+
+    @Test
+    fun `Given an upstream that came and left between two reads, then none is known while its streams can run`() {
+        val versions = watched.upstreamsMissed(30_000)
+
+        assertNull(versions.watchedUntil(50_000, first).single(50_000, "e1"))
+        assertNull(versions.versionSeen("lm", listOf(first), 2_000, 50_000))
+        assertEquals("v1", versions.watchedUntil(50_001, first).single(50_001, "e1"))
+    }
+
+    @Test
+    fun `Given a read that takes long, then a version counts as gone from when its removal was read`() {
+        val replaced = watched.registryChanged(listOf(first), listOf(second), readAtMs = 30_000, receivedAtMs = 32_000)
+
+        assertNull(replaced.watchedUntil(52_000, second).single(52_000, "e2"))
+        assertEquals("v2", replaced.watchedUntil(52_001, second).single(52_001, "e2"))
+    }
+
     @Test
     fun `Given an upstream that does not tell its version, then none is known`() {
         val untold = upstream("e3")
         val versions = StreamVersions().registryChanged(emptyList(), listOf(untold), 0)
 
-        assertNull(versions.watchedUntil(60_000, untold).singleVersion("lm", listOf(untold), 15_000, 60_000))
+        assertNull(versions.watchedUntil(60_000, untold).singleVersion("lm", listOf(untold), 15_000, 55_000, 60_000))
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -53,7 +53,10 @@
     /** What upstreams have said about the work that they want. */
     val availability = UpstreamAvailability(time, random, log)
     val pool = UpstreamPool(loop, format, time, availability)
-    val origins = StreamOrigins(time) { observeClocks() }
+    val origins =
+        StreamOrigins(time, { observeClocks() }) { delayMs, task ->
+            loop.schedule(task, delayMs, TimeUnit.MILLISECONDS)
+        }
 
     /** The requests and prompt parts under which upstreams crash. */
     val crashes = UpstreamCrashes(time, log.crashes, ::isLeaving) { delayMs, task -> schedule(nowMs() + delayMs, task) }
@@ -127,10 +130,10 @@
         return configFreshness.generation
     }
 
-    /** Follows the registry; a read that began at [readAtMs] brought [update]. */
-    fun updateRegistry(update: RegistryUpdate, readAtMs: Long = nowMs()) {
+    /** Follows the registry; [reading] brought [update]. */
+    fun updateRegistry(update: RegistryUpdate, reading: RegistryReading = RegistryReading(nowMs())) {
         registry = registry.apply(update, nowMs())
-        origins.registryUpdated(update, registry, readAtMs)
+        origins.registryUpdated(update, registry, reading)
         dropUnregistered()
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.serving.call
 
 import org.medlarhook.core.serving.fleet.RegistryUpdate
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamRegistry
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.resume.BegunStream
@@ -18,13 +19,15 @@
  *
  * Callers take up a stream at another process than the one that began it. Each process that does not know a service to
  * have a single version tells others of its streams there, and so does one that stops; a process asks the others for a
- * stream that it does not know.
+ * stream that it does not know. Without a record, a version is inferred from the registry only as it is after the stream
+ * was taken up, which [confirmations] shows.
  *
  * @param clockGeneration compares the clocks and returns a number that changes when the process was suspended.
  */
 internal class StreamOrigins(
     private val time: TimeSource,
     private val clockGeneration: () -> Int,
+    schedule: (Long, () -> Unit) -> Unit,
 ) : PeerListener {
     private var versions = StreamVersions()
     private var registry = UpstreamRegistry()
@@ -36,19 +39,42 @@
     /** The other processes. */
     var peers: StreamPeers = NoStreamPeers
 
-    /** Follows the registry from its state before [update], which a read begun at [readAtMs] brought, to [after]. */
-    fun registryUpdated(update: RegistryUpdate, after: UpstreamRegistry, readAtMs: Long) {
-        val changed = versions.registryChanged(registry.all(), after.all(), readAtMs)
+    /** Confirms what is known of the registry. */
+    val confirmations =
+        RegistryConfirmations(
+            knownTo = { versions.knownTo },
+            onUnchanged = { versions = versions.registryConfirmed(it.begunAtMs, it.position) },
+            schedule = schedule,
+        )
+
+    /** Follows the registry from its state before [update], which [reading] brought, to [after]. */
+    fun registryUpdated(update: RegistryUpdate, after: UpstreamRegistry, reading: RegistryReading) {
+        val nowMs = time.monotonicMs()
         versions =
             when (update) {
-                is RegistryUpdate.Changes -> changed
-                is RegistryUpdate.Listing -> changed.registryRead(readAtMs)
+                is RegistryUpdate.Changes -> changed(update, after, reading, nowMs)
+                is RegistryUpdate.Listing -> changed(registry.all(), after, reading, nowMs).registryRead(nowMs)
                 is RegistryUpdate.Unreachable -> versions.registryLost()
             }
         registry = after
         tellWhereUncertain()
+        confirmations.registryUpdated()
     }
 
+    private fun changed(
+        update: RegistryUpdate.Changes,
+        after: UpstreamRegistry,
+        reading: RegistryReading,
+        nowMs: Long,
+    ): StreamVersions {
+        val changed = changed(registry.all() + update.written, after, reading, nowMs)
+        val removed = update.removedIds - reading.unreadableIds
+        return if (removed.all { registry.find(it) != null }) changed else changed.upstreamsMissed(nowMs)
+    }
+
+    private fun changed(before: List<Upstream>, after: UpstreamRegistry, reading: RegistryReading, nowMs: Long) =
+        versions.registryChanged(before, after.all(), reading.begunAtMs, nowMs, reading.position)
+
     /** Tells other processes of all streams that are known here, because this process is about to end. */
     fun stopping() {
         isStopping = true
@@ -57,8 +83,9 @@
 
     private fun tellWhereUncertain() {
         val services = registry.all().map { it.service }.toSet() + toldServices
-        val uncertain = services.filter { isStopping || singleVersion(it) == null }.toSet()
         val nowMs = time.monotonicMs()
+        val confirmedSinceMs = nowMs - StreamVersions.REGISTRATION_DELAY_MS
+        val uncertain = services.filter { isStopping || singleVersion(it, 0, confirmedSinceMs) == null }.toSet()
         (uncertain - toldServices).flatMap { versions.recordedOf(it, nowMs) }.forEach { peers.tell(it) }
         toldServices = uncertain
     }
@@ -93,9 +120,26 @@
                 hasOneService = demand.route.targets.size == 1,
                 streamMs = streamMs(call, demand),
             )
-        val known = originOf(stream)
-        if (known != null) return onFound(originOf(known, demand))
-        peers.ask(stream) { onFound(originOf(it, demand)) }
+        val recorded = recorded(stream)
+        if (recorded != null) return onFound(originOf(reportOf(recorded), demand))
+        if (versionSeen(stream) == null) return peers.ask(stream) { onFound(originOf(it, demand)) }
+        confirmations.confirm { confirmedAtMs -> infer(stream, confirmedAtMs) { onFound(originOf(it, demand)) } }
+    }
+
+    /**
+     * Infers the version of [stream] from the registry, as a read that began at [confirmedAtMs] shows it, or takes the
+     * record of another process. One that has watched for longer may answer for the time before this one did.
+     */
+    private fun infer(stream: StreamQuestion, confirmedAtMs: Long?, onFound: (OriginReport?) -> Unit) {
+        val recorded = recorded(stream)
+        if (recorded != null) return onFound(reportOf(recorded))
+        if (confirmedAtMs == null) return peers.ask(stream, onFound)
+        val version = singleVersion(stream.service, stream.streamMs, confirmedAtMs)
+        if (version != null) return onFound(OriginReport(stream.service, version, isRecorded = false))
+        peers.ask(stream.copy(watchedFrom = versions.watchedFrom)) { report ->
+            val isKnown = report?.isRecorded == true || report != null && report.softwareVersion == versionSeen(stream)
+            onFound(report.takeIf { isKnown })
+        }
     }
 
     private fun originOf(report: OriginReport?, demand: Demand): StreamOrigin =
@@ -106,23 +150,51 @@
         }
 
     override fun originOf(stream: StreamQuestion): OriginReport? {
-        val recorded = stream.attemptId?.let { versions.recorded(stream.workspace, it, time.monotonicMs()) }
-        return when (recorded) {
-            is StreamOrigin.BegunAt -> OriginReport(recorded.service, recorded.softwareVersion, isRecorded = true)
-            is StreamOrigin.Unknown -> null
-            is StreamOrigin.NotBegun, null ->
-                singleVersion(stream.service, stream.streamMs)
-                    ?.takeIf { stream.hasOneService }
-                    ?.let { OriginReport(stream.service, it, isRecorded = false) }
-        }
+        val recorded = recorded(stream)
+        if (recorded != null) return reportOf(recorded)
+        val position = stream.watchedFrom?.takeIf { stream.hasOneService } ?: return null
+        noticeSuspension()
+        return versions
+            .singleVersionUpTo(
+                position,
+                stream.service,
+                registered(stream.service),
+                stream.streamMs,
+                time.monotonicMs(),
+            )
+            ?.let { OriginReport(stream.service, it, isRecorded = false) }
+    }
+
+    private fun recorded(stream: StreamQuestion): StreamOrigin? =
+        stream.attemptId?.let { versions.recorded(stream.workspace, it, time.monotonicMs()) }
+
+    private fun reportOf(recorded: StreamOrigin): OriginReport? =
+        (recorded as? StreamOrigin.BegunAt)?.let { OriginReport(it.service, it.softwareVersion, isRecorded = true) }
+
+    /** The version that [stream] may be inferred to have, if this process has watched for long enough, or another one. */
+    private fun versionSeen(stream: StreamQuestion): String? {
+        if (!stream.hasOneService) return null
+        noticeSuspension()
+        return versions.versionSeen(
+            stream.service,
+            registered(stream.service),
+            stream.streamMs,
+            time.monotonicMs(),
+        )
     }
 
-    private fun singleVersion(service: String, streamMs: Long = 0): String? {
+    private fun singleVersion(service: String, streamMs: Long, confirmedSinceMs: Long): String? {
+        noticeSuspension()
+        val nowMs = time.monotonicMs()
+        return versions.singleVersion(service, registered(service), streamMs, confirmedSinceMs, nowMs)
+    }
+
+    private fun registered(service: String): List<Upstream> = registry.all().filter { it.service == service }
+
+    private fun noticeSuspension() {
         val generation = clockGeneration()
         if (watchedGeneration != null && generation != watchedGeneration) versions = versions.registryLost()
         watchedGeneration = generation
-        val registered = registry.all().filter { it.service == service }
-        return versions.singleVersion(service, registered, streamMs, time.monotonicMs())
     }
 
     /** Drops what is no longer needed. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import org.medlarhook.core.serving.fleet.RegistryPosition
 import org.medlarhook.core.serving.resume.BegunStream
 import org.medlarhook.serving.crash.CrashReport
 
@@ -54,6 +55,8 @@
  * @property service the service that would go on with it.
  * @property hasOneService true if the route has no other service that may have begun it.
  * @property streamMs how long ago it may have begun.
+ * @property watchedFrom from where on the asking process knows all changes of the registry, up to a read that began after
+ * the stream was taken up; or null if only a record of the stream answers the question.
  */
 @Serializable
 internal data class StreamQuestion(
@@ -62,6 +65,7 @@
     val service: String,
     val hasOneService: Boolean,
     val streamMs: Long,
+    val watchedFrom: RegistryPosition? = null,
 )
 
 /** Where a stream began; [isRecorded] is false if the only version of the service was taken. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -2,11 +2,13 @@
 
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.core.serving.fleet.RegistryPosition
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.call.RegistryReading
 import org.medlarhook.serving.call.ServingLoop
 
 private val logger = KotlinLogging.logger {}
@@ -22,9 +24,12 @@
     private var clockGeneration = 0
 
     private val config = FeedFollower("config", time, era, ConfigFeed(), ConfigSink())
-    private val registry = FeedFollower("registry", time, era, RegistryFeed(), RegistrySink())
+    private val registryFeed = RegistryFeed()
+    private val registry = FeedFollower("registry", time, era, registryFeed, RegistrySink())
 
     fun start() {
+        val check = StoreRegistryCheck(store, era, time, serving.loop)
+        serving.loop.execute { serving.origins.confirmations.check = check }
         config.start()
         registry.start()
     }
@@ -75,9 +80,19 @@
     }
 
     private inner class RegistryFeed : FeedSource<RegistryRead> {
-        override fun readAll(): Either<StoreFailure, RegistryRead> = store.listUpstreams()
+        /** The era before the last read; its result is dropped if the era rises meanwhile. Null if none was known. */
+        var eraBeforeRead: Long? = null
+            private set
 
-        override fun await(position: Long, waitMs: Long) = store.awaitUpstreams(position, waitMs)
+        override fun readAll(): Either<StoreFailure, RegistryRead> {
+            eraBeforeRead = era.current
+            return store.listUpstreams()
+        }
+
+        override fun await(position: Long, waitMs: Long): Either<StoreFailure, RegistryRead> {
+            eraBeforeRead = era.current
+            return store.awaitUpstreams(position, waitMs)
+        }
 
         override fun positionOf(read: RegistryRead): Long = read.position
     }
@@ -88,7 +103,9 @@
         override fun received(read: RegistryRead, begunAtMs: Long, clockGeneration: Int) {
             read.unreadable.forEach { logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it) }
             logUpdate(read.update)
-            serving.loop.execute { serving.updateRegistry(read.update, begunAtMs) }
+            val position = registryFeed.eraBeforeRead?.let { RegistryPosition(it, read.position) }
+            val reading = RegistryReading(begunAtMs, position, read.unreadable.toSet())
+            serving.loop.execute { serving.updateRegistry(read.update, reading) }
         }
 
         override fun unreachable() {
