Take an answer without the attempt's id only as the first on its connection

Callers were told 503 (not run) for calls that an upstream ran, or such a call ran at two upstreams (REFUSED, TWICE), when an upstream wrote an earlier rejection once more on a kept connection before the answer that was due.

Cause: an answer was discarded only if it returned the id of another attempt. One without an id, or one to an earlier request with the same id, was taken for the answer to the request that waited: its "not run" was believed, and an earlier success was delivered to another caller (MIXED).

Ruled out: an earlier rejection that returns its id was discarded before as well. One exchange never sends to one upstream twice (`tried`), so that the same id twice on one connection needs a caller that uses its id again. The sidecar opens a connection for each call (`SingleSendClient`), so that no earlier answer can come again there (by reading).

Change: `ConnectionHistory` decides whose answer a head is. An answer belongs to the latest request if it returns its id, or returns none and the request is the connection's first. All others are discarded, and the request waits for its own. Requests with an id that the connection has carried, or without an id, go on another connection. An upstream that returns no id shows this with its first answer on a connection, which is then closed rather than kept, so that nothing is lost but the connection. The release of a cache has no id and uses no answer; it goes on any connection.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/NoOpAttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/NoOpAttemptListener.kt
@@ -8,6 +8,8 @@
 
 /** Ignores the result of requests that free a resource: if one is lost, the resource expires without it. */
 internal class NoOpAttemptListener : AttemptListener {
+    override val usesAnswer: Boolean get() = false
+
     override fun onSent() = Unit
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) = Unit
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -6,6 +6,9 @@
 
 /** Receives the events of one attempt. After [onEnd] or [onFailure], only [onAbandoned] may be called. */
 internal interface AttemptListener {
+    /** False if nothing depends on the answer, so that it may be mistaken for that to another request. */
+    val usesAnswer: Boolean get() = true
+
     /** The request is being written; from now on the upstream may run it. */
     fun onSent()
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import org.medlarhook.core.serving.answer.ConnectionHistory
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.UpstreamHead
@@ -20,12 +21,12 @@
 /**
  * One connection to an upstream, used by one attempt at a time.
  *
- * An answer with the id of another attempt is a late answer to an earlier attempt: it is discarded, and the attempt
- * keeps waiting for its own. A head that arrives while no attempt waits closes the connection, as does an upstream that
- * sends too much that is discarded.
+ * An answer that is not that to the latest request, as told by [ConnectionHistory], is an extra one: it is discarded,
+ * and the attempt keeps waiting for its own. A head that arrives while no attempt waits closes the connection, as does
+ * an upstream that sends too much that is discarded.
  *
- * @param onHead called with each head, including those of late answers, before the attempt that it belongs to; and with
- * the time when the request that it answers was sent, or null if that is an earlier one or none.
+ * @param onHead called with each head, including those of extra answers, before the attempt that it belongs to; and
+ * with the time when the request that it answers was sent, or null for an extra answer.
  */
 internal class UpstreamConnection(
     private val format: CallFormat,
@@ -36,7 +37,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var listener: AttemptListener? = null
-    private var attemptId: String? = null
+    private var history = ConnectionHistory()
     private var sentAtMs = 0L
     private var isSkipping = false
 
@@ -64,10 +65,13 @@
         context = ctx
     }
 
+    /** True if no answer to an earlier request can be taken for that to a request of the attempt with [id]. */
+    fun isDistinct(id: String?): Boolean = history.isDistinct(id)
+
     /** Sends [request] for the attempt with [id] and reports its events to [attempt]. */
     fun send(id: String?, request: FullHttpRequest, attempt: AttemptListener) {
         listener = attempt
-        attemptId = id
+        history = history.sent(id)
         sentAtMs = time.monotonicMs()
         isSkipping = false
         discardedBytes = 0
@@ -113,14 +117,15 @@
 
     private fun onResponse(response: HttpResponse) {
         val head = format.readHead(response)
-        val isLate = head.attemptId != null && head.attemptId != attemptId
-        onHead(head, sentAtMs.takeIf { listener != null && !isLate })
+        val isExtra = !history.isAnswerToLatest(head.attemptId)
+        onHead(head, sentAtMs.takeIf { listener != null && !isExtra })
         val current = listener ?: return close()
-        isSkipping = isLate || head.status < FIRST_FINAL_STATUS
+        isSkipping = isExtra || head.status < FIRST_FINAL_STATUS
         if (isSkipping) {
             if (++skippedHeads > MAX_SKIPPED_HEADS) failUnreadable()
             return
         }
+        history = history.answered(head.attemptId)
         framing = framingOf(response)
         readKeepAlive(head, response)
         current.onHead(head, response, framing)
@@ -153,7 +158,7 @@
     }
 
     private fun readKeepAlive(head: UpstreamHead, response: HttpResponse) {
-        closesAfterAnswer = head.closesConnection || !HttpUtil.isKeepAlive(response)
+        closesAfterAnswer = head.closesConnection || !HttpUtil.isKeepAlive(response) || !history.canCarryMore
         head.idleTimeoutMs?.let { idleTimeoutMs = it }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -38,8 +38,9 @@
      * Sends [request] to [upstream], on an idle connection if one is reusable, else on a new one.
      *
      * If [mayRunAgain] is false, only a connection that was in use within [RECENT_USE_MS] is reused: a request that may
-     * run at most once can't be retried if the upstream has closed the connection in the meantime. If
-     * [permits] don't allow the request when it would be sent, the attempt fails.
+     * run at most once can't be retried if the upstream has closed the connection in the meantime. Nor is one reused on
+     * which an earlier answer could be taken for the one to [request]. If [permits] don't allow the request when it
+     * would be sent, the attempt fails.
      */
     fun send(
         upstream: Upstream,
@@ -50,7 +51,8 @@
         listener: AttemptListener,
     ): AttemptHandle {
         val handle = AttemptHandle(listener)
-        val idleConnection = takeIdle(upstream.incarnation, mayRunAgain)
+        val idleConnection =
+            takeIdle(upstream.incarnation, mayRunAgain) { !listener.usesAnswer || it.isDistinct(attemptId) }
         if (idleConnection == null) {
             connect(upstream, attemptId, request, permits, handle)
         } else if (permits.claim(upstream)) {
@@ -85,15 +87,20 @@
         idle.remove(incarnation)?.forEach { it.close() }
     }
 
-    private fun takeIdle(incarnation: Incarnation, mayRunAgain: Boolean): UpstreamConnection? {
+    private fun takeIdle(
+        incarnation: Incarnation,
+        mayRunAgain: Boolean,
+        mayCarry: (UpstreamConnection) -> Boolean,
+    ): UpstreamConnection? {
         val connections = idle[incarnation] ?: return null
         val nowMs = time.monotonicMs()
-        while (connections.isNotEmpty()) {
-            val connection = connections.last()
-            val mayReuse = mayRunAgain || nowMs - connection.idleSinceMs <= RECENT_USE_MS
-            if (!mayReuse) return null
-            connections.removeLast()
-            if (connection.isOpen && isReusable(connection, nowMs)) return connection
+        for (index in connections.indices.reversed()) {
+            val connection = connections[index]
+            if (!mayRunAgain && nowMs - connection.idleSinceMs > RECENT_USE_MS) return null
+            val isReusable = isReusable(connection, nowMs)
+            if (isReusable && !mayCarry(connection)) continue
+            connections.removeAt(index)
+            if (isReusable) return connection
             connection.close()
         }
         return null
