Take no rest and no limit from an extra answer

Callers were refused for up to the whole time of a Retry-After, or while a limit seemed to hold, when an upstream wrote an earlier answer once more: its rest began anew, and a limit that had ended was in force again and told to other processes.

Cause: Retry-After and limits were read from each head, before it was known whose it was.

Change: both are taken only from the answer to the request that waits. That an upstream leaves is taken from each head: it stays true for the incarnation.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
@@ -52,7 +52,10 @@
     /**
      * Records what [head], an answer of [upstream], says about new work.
      *
-     * @param sentAtMs when the request that it answers was sent, or null if that is not known.
+     * An extra answer may say what was true earlier. Only that the upstream leaves is still true then; a rest may be
+     * over and a limit may have changed.
+     *
+     * @param sentAtMs when the request that it answers was sent, or null for an extra answer.
      */
     fun answered(upstream: Upstream, head: UpstreamHead, sentAtMs: Long?) {
         if (head.isMisdirected) return
@@ -61,6 +64,7 @@
             log.upstreamLeaves(upstream)
             onLeaving(upstream)
         }
+        if (sentAtMs == null) return
         head.retryAfter?.let { rejected(upstream, it) }
         val limit = head.limit
         if (limit != null) {
@@ -94,8 +98,8 @@
     }
 
     /** A limit has ended if a request that was sent after it had been named is answered without it. */
-    private fun noLimitNamed(upstream: Upstream, sentAtMs: Long?) {
-        if (sentAtMs != null && limits.perS(upstream.incarnation) != null) limitSaid(upstream, null, sentAtMs)
+    private fun noLimitNamed(upstream: Upstream, sentAtMs: Long) {
+        if (limits.perS(upstream.incarnation) != null) limitSaid(upstream, null, sentAtMs)
     }
 
     private fun limitSaid(upstream: Upstream, perS: Double?, asOfMs: Long) {
