Pass on no "not run" status that the upstream has not confirmed

A call that runs at most once was answered 408, 429 or 503, which promise callers that it has not run, when an upstream gave that status without stating that it had not run the call.

Cause: such an answer was passed on like any other. Only the header states "not run"; the status alone does not.

Change: for a request that may run at most once, such an answer counts as unreadable, so that the caller gets 502 and the connection is closed. Requests that may run again are answered as before.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -35,6 +35,7 @@
                 exchange.attemptNotRun(head.isMisdirected)
             }
             head.isUnstampedSuccess || head.isEncoded -> failUnreadable()
+            head.isUnfoundedPromise && !exchange.mayRunAgain -> failUnreadable()
             head.status >= FIRST_SERVER_ERROR -> {
                 tracker.runStarted()
                 if (exchange.retryOnServerError()) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -45,6 +45,9 @@
         ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
     }
 
+    /** True if the request may run more than once. */
+    val mayRunAgain: Boolean get() = demand.route.mayRunAgain
+
     private val account = ArrivalAccount(serving.retryBudgets, record)
 
     /** Admits and places the request, or refuses it. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -34,8 +34,12 @@
     /** True for a success without the upstream's stamp: it comes from a faulty upstream and is not a valid answer. */
     val isUnstampedSuccess: Boolean get() = status < FIRST_REDIRECT && !isStamped
 
+    /** True for a status that tells callers "not run" although the upstream has not stated that. */
+    val isUnfoundedPromise: Boolean get() = !isNotRun && status in PROMISES
+
     private companion object {
         const val FIRST_REDIRECT = 300
+        val PROMISES = setOf(408, 429, 503)
     }
 }
 
