Ask for the authority once the connection for a usage report stands

By reading: the holder checks its authority before it delivers a report, and setting up the connection takes up to 500 ms, in which the lease may end or the VM be suspended. The report left nevertheless, with the fencing token of before.

Change: the client asks again immediately before it writes the request. What is left is a suspension between that check and the write, whose bytes arrive as soon as the sender goes on.

--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseMachine.kt
@@ -36,8 +36,8 @@
         }
 
     /**
-     * Returns [state] with the lease measured from [stoodStillMs] earlier: the monotonic clock has not counted that time,
-     * in which the lease went on.
+     * Returns [state] with the lease measured from [stoodStillMs] earlier: the monotonic clock has not counted that
+     * time, in which the lease went on.
      */
     public fun resumed(state: LeaseState, stoodStillMs: Long): LeaseState =
         when (state) {
--- a/core/src/main/kotlin/org/medlarhook/core/lease/LeaseManager.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/lease/LeaseManager.kt
@@ -12,9 +12,9 @@
  *
  * Authority ends as soon as the era of the tables rises; the lease is then acquired anew in the rows of that era.
  *
- * The monotonic clock may not count a suspension of the VM, so that it is compared with the wall clock whenever authority
- * is asked for or an answer has come. By what the wall clock is ahead the lease is shorter. A wall clock that jumps back may
- * hide a suspension of any length, after which the lease counts as expired until it is renewed.
+ * The monotonic clock may not count a suspension of the VM, so that it is compared with the wall clock whenever
+ * authority is asked for or an answer has come. By what the wall clock is ahead the lease is shorter. A wall clock that
+ * jumps back may hide a suspension of any length, after which the lease counts as expired until it is renewed.
  *
  * @param era the era of the tables, see [LeaseScope.tableEra].
  * @param mayAcquire false if the process already holds or acquires as many leases as it may.
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
@@ -88,6 +88,9 @@
         return sharedClock.isSure
     }
 
+    private fun actingAuthorityIn(eraStart: DrillRecovery.EraStart) =
+        authorityIn(eraStart)?.takeIf { it.mayAct(time.monotonicMs()) }
+
     private fun authorityIn(eraStart: DrillRecovery.EraStart) =
         lease.authority()?.takeIf { it.scope.tableEra == eraStart.era }
 
@@ -98,8 +101,9 @@
         endedMs: Long,
         vararg details: Pair<String, Any>,
     ) {
-        val authority = authorityIn(eraStart)?.takeIf { it.mayAct(time.monotonicMs()) } ?: return
-        reporting.deliver(window, sum, holder, authority.epoch).fold(
+        val authority = actingAuthorityIn(eraStart) ?: return
+        val isPermitted = { actingAuthorityIn(eraStart)?.epoch == authority.epoch }
+        reporting.deliver(window, sum, holder, authority.epoch, isPermitted).fold(
             { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
             {
                 deliveredWindows += window
--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPorts.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPorts.kt
@@ -64,6 +64,7 @@
         countByWorkspace: Map<String, Long>,
         holder: String,
         fencingToken: Long,
+        isPermitted: () -> Boolean,
     ): Either<String, Unit> =
         when (calls.report(window, countByWorkspace, holder, fencingToken)) {
             true -> Unit.right()
