Refuse keys after a suspension that only the store's clock shows

Change: the usage reporter finds the suspension when the processes agree on the shared clock again, and the confirmation of the configuration is withdrawn until a read that begins later. A wall clock that jumps back alone refuses no key, as before. A process that is cut off from the store meanwhile learns of such a suspension only when it is back.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/trust/ConfigFreshness.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/trust/ConfigFreshness.kt
@@ -53,13 +53,15 @@
     public fun observed(nowMs: Long, wallMs: Long): ConfigFreshness {
         val gapMs = wallMs - nowMs
         val hasJumped = clockGapMs != null && gapMs - clockGapMs > MAX_CLOCK_JUMP_MS
-        return if (hasJumped) {
-            copy(confirmedAtMs = null, clockGapMs = gapMs, generation = generation + 1)
-        } else {
-            copy(clockGapMs = gapMs)
-        }
+        return if (hasJumped) suspended().copy(clockGapMs = gapMs) else copy(clockGapMs = gapMs)
     }
 
+    /**
+     * Records a suspension. A wall clock that has jumped back meanwhile hides it from [observed]; the store's clock
+     * shows it.
+     */
+    public fun suspended(): ConfigFreshness = copy(confirmedAtMs = null, generation = generation + 1)
+
     /** Returns true if a key may be accepted at [nowMs]. */
     public fun mayAccept(nowMs: Long): Boolean = confirmedAtMs != null && nowMs - confirmedAtMs <= maxAgeMs
 
--- a/core/src/test/kotlin/org/medlarhook/core/serving/ConfigFreshnessTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/ConfigFreshnessTest.kt
@@ -53,4 +53,13 @@
     fun `Given a wall clock that jumps back, then keys are still accepted`() {
         assertTrue(freshness.observed(nowMs = 200, wallMs = 998_000).mayAccept(200))
     }
+
+    @Test
+    fun `Given a suspension that only the store's clock shows, then keys are refused until a later read`() {
+        val resumed = freshness.observed(nowMs = 200, wallMs = 1_000_200).suspended()
+
+        assertFalse(resumed.mayAccept(200))
+        assertFalse(resumed.confirmed(150, begunInGeneration = 0).mayAccept(210))
+        assertTrue(resumed.confirmed(210, begunInGeneration = resumed.generation).mayAccept(220))
+    }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -133,6 +133,11 @@
         return configFreshness.generation
     }
 
+    /** Records a suspension that the clocks of this VM don't show: keys are refused as in [observeClocks]. */
+    fun suspended() {
+        configFreshness = configFreshness.suspended()
+    }
+
     /** Follows the registry; a read that began at [readAtMs] brought [update]. */
     fun updateRegistry(update: RegistryUpdate, readAtMs: Long = nowMs()) {
         registry = registry.apply(update, nowMs())
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/LoopUsage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/LoopUsage.kt
@@ -22,6 +22,10 @@
         onLoop { serving.updateUsage(change) }
     }
 
+    override fun onSuspended() {
+        onLoop { serving.suspended() }
+    }
+
     override fun peerAddress(): String? = peer.address()?.toString()
 
     override fun onProcessesRead(counts: WindowCounts, share: ProcessShare?) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/RequestUsage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/RequestUsage.kt
@@ -12,6 +12,9 @@
     /** Applies [change] to the usage windows, unless the request path does not answer in time. */
     fun update(change: (UsageWindows) -> UsageWindows)
 
+    /** Tells that the monotonic clock has not counted a suspension, as the store's clock shows. */
+    fun onSuspended() = Unit
+
     /** Returns the address on which other processes reach this one, or null if it has none. */
     fun peerAddress(): String?
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -146,6 +146,7 @@
         val offsetMs = sharedClock.offsetMs?.takeIf { sharedClock.isSure } ?: return null
         val usage = requests.read() ?: return null
         if (usage.offsetMs == offsetMs && !usage.isInDoubt) return usage
+        if (usage.offsetMs != null && offsetMs - usage.offsetMs!! > LONGEST_PAUSE_MS) requests.onSuspended()
         requests.update { it.withOffset(offsetMs) }
         return requests.read()?.takeIf { it.offsetMs == offsetMs }
     }
@@ -267,6 +268,9 @@
         /** Windows that are kept in addition to those that may still be due. */
         const val KEPT_WINDOWS = 5L
 
+        /** Greatest advance of the shared clock on an agreement that is not taken for a suspension. */
+        const val LONGEST_PAUSE_MS = 300L
+
         /** Timeout of the slowest outward call, the delivery of a report. */
         const val LONGEST_CALL_MS = 800L
 
