--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -138,6 +138,11 @@
         return configFreshness.generation
     }
 
+    /** Records a suspension that the clocks of this VM don't show: keys are refused as in [observeClocks]. */
+    fun suspended() {
+        configFreshness = configFreshness.suspended()
+    }
+
     /** Follows the registry; [reading] brought [update]. */
     fun updateRegistry(update: RegistryUpdate, reading: RegistryReading = RegistryReading(nowMs())) {
         registry = registry.apply(update, nowMs())
