--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/UsageReporterSimulationTest.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/UsageReporterSimulationTest.kt
@@ -1,9 +1,7 @@
 package org.medlarhook.serving.duty
 
 import org.medlarhook.serving.duty.simulation.ScheduleGenerator
-import org.medlarhook.serving.duty.simulation.SimResult
-import org.medlarhook.serving.duty.simulation.UsageReporterSimulation
-import org.medlarhook.serving.duty.simulation.UsageSchedule
+import org.medlarhook.serving.duty.simulation.Simulations
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
 import kotlin.test.Test
@@ -16,7 +14,7 @@
  * A longer run: `-Dusage.first=1 -Dusage.seeds=10000`, with as many schedules side by side as `-Dusage.parallel` says.
  */
 class UsageReporterSimulationTest {
-    private val processes = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
+    private val simulations = Simulations()
 
     @Test
     fun `Given seeded faults, then one holder at a time reports, and each window has one count`() {
@@ -25,7 +23,7 @@
         val workers = Executors.newFixedThreadPool(Integer.getInteger("usage.parallel", 2))
         val results =
             (first..<first + seeds)
-                .map { seed -> seed to workers.submit(Callable { run(ScheduleGenerator(seed).draw()) }) }
+                .map { seed -> seed to workers.submit(Callable { simulations.run(ScheduleGenerator(seed).draw()) }) }
                 .map { (seed, result) -> seed to result.get() }
         workers.shutdown()
         val due = results.sumOf { it.second.due }
@@ -36,27 +34,13 @@
         violated.groupBy { it.second.violations.first().substringBefore(':') }.forEach { (rule, cases) ->
             println("usage: ${cases.size} times $rule: seeds ${cases.take(SHOWN).map { it.first }}")
         }
-        val cases = violated.take(SHOWN).map { (seed, _) -> describe(smallest(ScheduleGenerator(seed).draw())) }
+        val cases = violated.take(SHOWN).map { (seed, _) ->
+            simulations.describe(simulations.smallest(ScheduleGenerator(seed).draw()))
+        }
         if (cases.isNotEmpty()) fail(cases.joinToString("\n\n"))
         assertTrue(sent >= due * LEAST_SENT, "$sent of $due windows were sent")
     }
 
-    private fun run(schedule: UsageSchedule, onTrace: ((String) -> Unit)? = null): SimResult =
-        UsageReporterSimulation(schedule, processes, onTrace).run()
-
-    /** Leaves out faults as long as a rule is violated without them. */
-    private fun smallest(schedule: UsageSchedule): UsageSchedule =
-        schedule.faults.asSequence()
-            .map { schedule.copy(faults = schedule.faults - it) }
-            .firstOrNull { run(it).violations.isNotEmpty() }
-            ?.let { smallest(it) } ?: schedule
-
-    private fun describe(schedule: UsageSchedule): String {
-        val trace = ArrayList<String>()
-        val result = run(schedule) { trace += it }
-        return "$schedule\n${trace.joinToString("\n")}\n${result.violations.joinToString("\n")}"
-    }
-
     private companion object {
         const val SEEDS = 300L
         const val SHOWN = 20
