Set up connections of simulated reports before the authority is asked

The platform's client asks whether a report is still permitted once its connection stands; the simulation did not ask.

--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimCalls.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimCalls.kt
@@ -44,9 +44,17 @@
         return reply.value.takeIf { reply.era == null || observe(reply.era) }
     }
 
-    /** Delivers a report, and returns true if that is confirmed. */
-    fun report(window: Long, counts: Map<String, Long>, holder: String, fencingToken: Long): Boolean? {
+    /** Delivers a report if [isPermitted] holds once there is a connection, and returns true if that is confirmed. */
+    fun report(
+        window: Long,
+        counts: Map<String, Long>,
+        holder: String,
+        fencingToken: Long,
+        isPermitted: () -> Boolean,
+    ): Boolean? {
         simulation.lastReporter = vm
+        if (random.nextInt(CALLS_A_CONNECTION) == 0) process.pauseFor(random.nextLong(CONNECT_TIMEOUT_MS))
+        if (!isPermitted()) return false
         return outward<Boolean>(SimCall.REPORT, { platform.fault == PlatformFault.SLOW }, true) { sentAtMs, answer ->
             val fault = platform.fault
             if (fault != PlatformFault.DOWN) {
@@ -116,6 +124,8 @@
     private companion object {
         /** The time-out of calls in the adapter. */
         const val TIMEOUT_MS = 800L
+        const val CONNECT_TIMEOUT_MS = 500L
+        const val CALLS_A_CONNECTION = 4
         const val SLOWEST_MS = 1_500L
         const val LATENCY_MS = 8L
 
--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPorts.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPorts.kt
@@ -66,7 +66,7 @@
         fencingToken: Long,
         isPermitted: () -> Boolean,
     ): Either<String, Unit> =
-        when (calls.report(window, countByWorkspace, holder, fencingToken)) {
+        when (calls.report(window, countByWorkspace, holder, fencingToken, isPermitted)) {
             true -> Unit.right()
             false -> "refused".left()
             null -> "no answer".left()
