Check JSON from other writers before it is parsed, and keep background threads alive

Callers saw processes that no longer followed the registry after another writer had left a deeply nested entry. The JSON parser descends by recursion: on a stack of 256 kB, as the processes have, 5,000 opening brackets overflow it, and the StackOverflowError ended the thread that read the row.

JsonGuard walks over a text once without recursion, and refuses too long and too deep texts, repeated fields and bare words. StepThread repeats a step on a thread that nothing but an interrupt ends: a failure is logged when it differs from the one before (701, its end 702), and tried again after 0.1 to 2 s.

--- a/core/src/main/kotlin/org/medlarhook/core/row/RowJson.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/row/RowJson.kt
@@ -1,9 +1,12 @@
 package org.medlarhook.core.row
 
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
 /** Encodes and decodes row values as JSON. Decoding ignores fields that a newer version of the program has added. */
 public object RowJson {
+    private val guard = JsonGuard()
+
     public val format: Json =
         Json {
             encodeDefaults = true
@@ -12,5 +15,14 @@
 
     public inline fun <reified T> encode(value: T): String = format.encodeToString(value)
 
-    public inline fun <reified T> decode(text: String): T = format.decodeFromString(text)
+    /** Decodes [text], or throws an [IllegalArgumentException], never an error, whatever another writer has left. */
+    public inline fun <reified T> decode(text: String): T {
+        check(text)
+        return format.decodeFromString(text)
+    }
+
+    @PublishedApi
+    internal fun check(text: String) {
+        guard.problemOf(text)?.let { throw SerializationException(it) }
+    }
 }
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -4,7 +4,7 @@
  * The numbered log events. `docs/LOG-EVENTS.md` lists each of them.
  *
  * 1xx: start and stop of a process; 2xx: requests; 3xx: upstreams; 4xx: directory; 5xx: leases, orders and usage;
- * 6xx: the platform's services.
+ * 6xx: the platform's services; 7xx: background work and data from other writers.
  *
  * @property number identifies the event; its meaning never changes.
  * @property message description of the event in one line, for operators.
@@ -75,4 +75,7 @@
     REQUEST_QUARANTINED(626, "Request crashes upstreams; it is refused when it comes again"),
     REQUEST_CLEARED(627, "Request had a complete answer, or prompt parts explain the crashes under it"),
     QUARANTINED_REQUEST_REFUSED(628, "Requests refused because upstreams crash under them"),
+    BACKGROUND_STEP_FAILED(701, "Background work failed; it is tried again after a pause"),
+    BACKGROUND_STEP_RECOVERED(702, "Background work succeeds again"),
+    STORE_ERA_MALFORMED(703, "The platform's store named a malformed era; its answers count as of era 0"),
 }
