--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -16,7 +16,6 @@
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.fleet.UpstreamRegistry
-import org.medlarhook.core.serving.load.LoopObservation
 import org.medlarhook.core.serving.load.ServiceEstimates
 import org.medlarhook.core.serving.load.UpstreamLoad
 import org.medlarhook.core.serving.place.Demand
@@ -66,12 +65,12 @@
         }
 
     /** The requests and prompt parts under which upstreams crash. */
+    val loopDelay = LoopDelay { delayMs, task -> schedule(nowMs() + delayMs, task) }
     val crashes = UpstreamCrashes(time, log.crashes, ::isLeaving) { delayMs, task -> schedule(nowMs() + delayMs, task) }
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private var loads: PersistentMap<Incarnation, UpstreamLoad> = persistentMapOf()
     private var estimates: PersistentMap<String, ServiceEstimates> = persistentMapOf()
     private var inFlight = 0
-    private var loopObservation = LoopObservation()
     private val waitingRequests = WaitingRequests()
 
     /** The retries that this process may send. */
@@ -163,18 +162,9 @@
         origins.stopping()
     }
 
-    private fun observeLoop() {
-        loopObservation = loopObservation.observed(nowMs())
-        if (!loopObservation.isLate) return
-        schedule(nowMs() + LoopObservation.NEXT_TURN_MS) { loopObservation = loopObservation.caughtUp() }
-    }
-
-    /** The earliest time at which what is read now can have arrived. */
-    fun earliestArrivalMs(): Long = loopObservation.earliestArrivalMs(nowMs())
-
-    /** Periodic work, every [LoopObservation.PERIOD_MS]: compares the clocks, and drops expired registrations with their loads and idle connections. */
+    /** Periodic work: compares the clocks, and drops expired registrations with their loads and idle connections. */
     fun tick() {
-        observeLoop()
+        loopDelay.observe(nowMs())
         observeClocks()
         registry = registry.expire(nowMs())
         origins.prune()
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -63,7 +63,7 @@
     override fun channelActive(ctx: ChannelHandlerContext) {
         connections.opened(this)
         acceptedAtMs = serving.nowMs()
-        connectedAtMs = serving.earliestArrivalMs()
+        connectedAtMs = serving.loopDelay.earliestArrivalMs(acceptedAtMs)
         awaitRequest(idleMs = limits().idleTimeoutMs)
     }
 
@@ -104,7 +104,7 @@
 
     /** The first request on a connection that was accepted late has waited with it. */
     private fun earliestArrivalMs(): Long {
-        val readMs = serving.earliestArrivalMs()
+        val readMs = serving.loopDelay.earliestArrivalMs(serving.nowMs())
         val hasWaited = requestsRead == 0 && connectedAtMs < acceptedAtMs && readMs - acceptedAtMs <= FIRST_REQUEST_MS
         return if (hasWaited) connectedAtMs else readMs
     }
