Keep the lease if a report without an answer may still arrive

Change: the lease is not released within a take-over time of a delivery that failed; it runs out instead.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageReporter.kt
@@ -86,9 +86,15 @@
     /** Returns the time until the next step after one that began at [begunAtMs]. */
     fun pauseMs(begunAtMs: Long): Long = (PERIOD_MS - (time.monotonicMs() - begunAtMs)).coerceAtLeast(MIN_PAUSE_MS)
 
-    /** Releases the lease; requests that are still served are counted and published as before. */
+    /**
+     * Releases the lease; requests that are still served are counted and published as before. If a report may still
+     * arrive, the lease runs out instead, so that no successor reports before it.
+     */
     fun releaseLease() {
-        stepLock.withLock { lease.release() }
+        stepLock.withLock {
+            val takeOverAfterMs = leaseSettings(bounds).takeOverAfterMs
+            if (!reports.mayArriveLate(time.monotonicMs(), takeOverAfterMs)) lease.release()
+        }
     }
 
     /** Publishes the last counts and marks them as last; gives up at [endAtMs] if a slow step still runs. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/WindowReports.kt
@@ -32,6 +32,7 @@
     private val deliveredWindows = HashSet<Long>()
     private val leftOutWindows = HashSet<Long>()
     private val countsByWindow = HashMap<Long, WindowCounts>()
+    private var unansweredAtMs: Long? = null
 
     /** Reports [window] if that is due at [sharedMs] on the shared clock, in the era that began at [eraStart]. */
     fun report(window: Long, eraStart: DrillRecovery.EraStart, sharedMs: Long) {
@@ -45,6 +46,9 @@
         }
     }
 
+    /** True if a report that got no answer within [withinMs] before [nowMs] may still arrive. */
+    fun mayArriveLate(nowMs: Long, withinMs: Long): Boolean = unansweredAtMs?.let { nowMs - it < withinMs } == true
+
     /** Forgets the windows before [window], which are not reported any more. */
     fun forgetBefore(window: Long) {
         deliveredWindows.removeIf { it < window }
@@ -104,7 +108,10 @@
         val authority = actingAuthorityIn(eraStart) ?: return
         val isPermitted = { actingAuthorityIn(eraStart)?.epoch == authority.epoch }
         reporting.deliver(window, sum, holder, authority.epoch, isPermitted).fold(
-            { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it) },
+            {
+                unansweredAtMs = time.monotonicMs()
+                logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "usage", "window" to window, "cause" to it)
+            },
             {
                 deliveredWindows += window
                 logger.event(
