Refuse datagrams with values out of range, and log unreadable ones once a second

Anybody can send a datagram to a process. Each unreadable one wrote a log line, although a limit of one line a second was declared, and limits, times and ages of any size were taken over.

Now limits and times have ranges, a failure while a message is handled counts as an unreadable message, and one line a second is written.

--- a/serving/src/main/kotlin/org/medlarhook/serving/crash/CrashReport.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/crash/CrashReport.kt
@@ -20,11 +20,12 @@
     companion object {
         /** Suspects with longer identifiers than the platform's own are not observed. */
         const val MAX_ID = 64
+        private const val MAX_AGE_MS = 1L shl 53
 
         /** Fails on what only a faulty process sends. */
         fun check(id: String, ageMs: Long) {
             require(id.length <= MAX_ID) { "an identifier has ${id.length} characters; the limit is $MAX_ID" }
-            require(ageMs >= 0) { "the age is $ageMs ms; it must not be negative" }
+            require(ageMs in 0..MAX_AGE_MS) { "the age is $ageMs ms; it must be from 0 to $MAX_AGE_MS" }
         }
 
         fun suspect(id: String, isRequest: Boolean): Suspect =
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -53,7 +53,7 @@
     private val untold = ArrayList<BegunStream>()
     private val openQuestions = HashMap<Long, OpenQuestion>()
     private var nextQuestion = Random.nextLong()
-    private var unreadableLoggedAtMs = Long.MIN_VALUE
+    private var unreadableLoggedAtMs: Long? = null
 
     private class OpenQuestion(
         var awaited: Int,
@@ -197,13 +197,22 @@
         override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
             val text = packet.content().toString(Charsets.UTF_8)
             runCatching { RowJson.decode<PeerMessage>(text) }.fold(
-                { received(it, packet.sender()) },
-                {
-                    logger.warnEvent(LogEvent.PEER_MESSAGE_UNREADABLE, "from" to "${packet.sender()}", "cause" to "$it")
+                { message ->
+                    runCatching { received(message, packet.sender()) }.onFailure { logUnreadable(packet.sender(), it) }
                 },
+                { logUnreadable(packet.sender(), it) },
             )
         }
 
+        private fun logUnreadable(sender: InetSocketAddress, failure: Throwable) {
+            val nowMs = time.monotonicMs()
+            val loggedAtMs = unreadableLoggedAtMs
+            if (loggedAtMs != null && nowMs - loggedAtMs < LOG_INTERVAL_MS) return
+            unreadableLoggedAtMs = nowMs
+            val cause = "$failure".take(MAX_CAUSE_CHARS)
+            logger.warnEvent(LogEvent.PEER_MESSAGE_UNREADABLE, "from" to "$sender", "cause" to cause)
+        }
+
         override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
             logger.warnEvent(LogEvent.PEERS_UNREACHABLE, "address" to "$address", "cause" to "$cause")
         }
@@ -228,6 +237,7 @@
 
         /** Unreadable messages are logged once in this time. */
         const val LOG_INTERVAL_MS = 1_000L
+        const val MAX_CAUSE_CHARS = 300
 
         /** A round trip between regions and a pause of a busy process; the caller waits meanwhile. */
         const val ANSWER_TIMEOUT_MS = 150L
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/LimitPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/LimitPeers.kt
@@ -20,4 +20,16 @@
     val startedAtMs: Long,
     val perS: Double?,
     val asOfMs: Long,
-)
+) {
+    init {
+        require(perS == null || perS in 0.0..MAX_PER_S) {
+            "the limit is $perS requests a second, expected 0 to $MAX_PER_S"
+        }
+        require(asOfMs in -MAX_MS..MAX_MS) { "the time of the limit is $asOfMs ms, expected at most $MAX_MS" }
+    }
+
+    private companion object {
+        const val MAX_PER_S = 1e9
+        const val MAX_MS = 1L shl 53
+    }
+}
