Refuse usage counts out of range and addresses of processes that are no IP numbers

A count of another writer could be negative or so large that the sum wraps around, and an address with a name made the event loop look it up. Counts are now from 0 to 10^12, addresses IPv4 with a port of ASCII digits, and an unreadable row is logged once with its cause instead of at every read.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/ProcessCount.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/ProcessCount.kt
@@ -15,4 +15,14 @@
     val isClosed: Boolean,
     val isLast: Boolean = false,
     val peer: String? = null,
-)
+) {
+    init {
+        val odd = counts.values.firstOrNull { it !in 0..MAX_COUNT }
+        require(odd == null) { "a workspace has $odd requests, expected 0 to $MAX_COUNT" }
+    }
+
+    private companion object {
+        /** More than any process serves in a window; the sum over all processes does not overflow. */
+        const val MAX_COUNT = 1_000_000_000_000L
+    }
+}
--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/WindowCounts.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/WindowCounts.kt
@@ -17,7 +17,7 @@
 
     /** The addresses of these processes, as far as they have published one that can be read. */
     public val peers: List<Endpoint> get() =
-        byProcess.filterValues { !it.isLast }.values.mapNotNull { count -> count.peer?.let { Endpoint.parse(it) } }
+        byProcess.filterValues { !it.isLast }.values.mapNotNull { count -> count.peer?.let { Endpoint.parseIp(it) } }
 
     private val ended: Set<String> get() = byProcess.keys - continuing
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageCounts.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/UsageCounts.kt
@@ -22,6 +22,8 @@
     private val process: String,
     private val tables: TableService,
 ) {
+    private val unreadable = LinkedHashSet<Pair<String, Long>>()
+
     /** Writes the counts of this process, by window. */
     fun publish(counts: List<Pair<Long, ProcessCount>>): Either<TableFailure, Committed> {
         val rows = counts.map { (window, count) -> Write(RowKey(TABLE, key(window, process)), RowJson.encode(count)) }
@@ -40,10 +42,20 @@
 
     private fun countOf(row: Row): ProcessCount? =
         runCatching { RowJson.decode<ProcessCount>(row.value) }
-            .onFailure { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "count", "row" to row.key.key) }
+            .onFailure { logUnreadable(row, it) }
             .getOrNull()
 
+    /** Logs each version of a row once; it is read many times until its window is reported. */
+    private fun logUnreadable(row: Row, failure: Throwable) {
+        if (!unreadable.add(row.key.key to row.version)) return
+        if (unreadable.size > MAX_REMEMBERED) unreadable.remove(unreadable.first())
+        val cause = "$failure".take(MAX_CAUSE_CHARS)
+        logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "count", "row" to row.key.key, "cause" to cause)
+    }
+
     private companion object {
         const val TABLE = "usage-count"
+        const val MAX_REMEMBERED = 1_000
+        const val MAX_CAUSE_CHARS = 300
     }
 }
