Ignore odd registrations, name each once, and go on following the registry

Another writer's entry among the registrations ended the thread that follows them (deep nesting), hid all others (bytes that are no base64 made the whole page unreadable), or was taken with nonsense (slots of 3,000,000,000 read as -1,294,967,296, a host that is no IP number, a start of 1e30).

Followers read the table whole after a failed step, which the event loop reports back to them; the tick of the event loop survives a failure.

--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ControlStore.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ControlStore.kt
@@ -36,12 +36,18 @@
  * The result of reading registrations.
  *
  * @property position where the next wait for changes begins.
- * @property unreadable ids of registrations that can't be decoded.
+ * @property unreadable registrations that can't be decoded.
  */
 public data class RegistryRead(
     val position: Long,
     val update: RegistryUpdate,
-    val unreadable: List<String> = emptyList(),
+    val unreadable: List<UnreadableRegistration> = emptyList(),
+)
+
+/** The registration under [id], which can't be decoded for [cause] and names no upstream. */
+public data class UnreadableRegistration(
+    val id: String,
+    val cause: String,
 )
 
 /** Why a read from the store failed. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/FeedFollower.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/FeedFollower.kt
@@ -6,7 +6,7 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
-import kotlin.concurrent.thread
+import org.medlarhook.runtime.thread.StepThread
 import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
@@ -34,9 +34,12 @@
     private var isStopped = false
 
     fun start() {
-        thread(name = "follow-$name", isDaemon = true) {
-            while (!isStopped) step()
-        }
+        StepThread("follow-$name", { isStopped }, onFailure = ::readWholeNext) { step() }.start()
+    }
+
+    /** A step that failed may have lost a change. */
+    private fun readWholeNext() {
+        position = null
     }
 
     /** Ends the thread after its current call. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -34,6 +34,11 @@
         registry.stop()
     }
 
+    /** Runs [task] on the event loop and waits for its end, so that a failure reaches the follower. */
+    private fun onLoop(task: () -> Unit) {
+        serving.loop.submit(Runnable(task)).get()
+    }
+
     private inner class ConfigFeed : FeedSource<ConfigRead> {
         override fun readAll(): Either<StoreFailure, ConfigRead> = store.readConfig()
 
@@ -46,7 +51,7 @@
         override fun clockGeneration(): Int = clockGeneration
 
         override fun received(read: ConfigRead, begunAtMs: Long, clockGeneration: Int) {
-            serving.loop.execute {
+            onLoop {
                 val config = read.config
                 if (config != null && serving.configure(config)) {
                     logger.event(
@@ -83,12 +88,16 @@
     }
 
     private inner class RegistrySink : FeedSink<RegistryRead> {
+        private val problems = RegistrationProblems()
+
         override fun clockGeneration(): Int = 0
 
         override fun received(read: RegistryRead, begunAtMs: Long, clockGeneration: Int) {
-            read.unreadable.forEach { logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it) }
-            logUpdate(read.update)
-            serving.loop.execute { serving.updateRegistry(read.update, begunAtMs) }
+            problems.observe(read).forEach {
+                logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it.id, "cause" to it.cause)
+            }
+            logUpdate(read.update, read.unreadable.map { it.id }.toSet())
+            onLoop { serving.updateRegistry(read.update, begunAtMs) }
         }
 
         override fun unreachable() {
@@ -98,7 +107,7 @@
         /** A drill is an outage that ends with the next read: live upstreams whose rows are gone register again. */
         override fun storeRestored() = unreachable()
 
-        private fun logUpdate(update: RegistryUpdate) {
+        private fun logUpdate(update: RegistryUpdate, unreadableIds: Set<String>) {
             when (update) {
                 is RegistryUpdate.Listing ->
                     logger.event(
@@ -108,16 +117,18 @@
                                 "${it.id}@${it.address} ${it.service} ${it.stage} ${it.softwareVersion}"
                             },
                     )
-                is RegistryUpdate.Changes ->
-                    if (update.written.isNotEmpty() || update.removedIds.isNotEmpty()) {
+                is RegistryUpdate.Changes -> {
+                    val removedIds = update.removedIds - unreadableIds
+                    if (update.written.isNotEmpty() || removedIds.isNotEmpty()) {
                         logger.event(
                             LogEvent.REGISTRY_CHANGED,
                             "written" to update.written.map {
                                 "${it.id}@${it.address} ${it.softwareVersion} draining=${it.isDraining}"
                             },
-                            "removed" to update.removedIds,
+                            "removed" to removedIds,
                         )
                     }
+                }
                 is RegistryUpdate.Unreachable -> Unit
             }
         }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -13,6 +13,7 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.runtime.thread.StepFailures
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.ServingLoop
@@ -72,6 +73,9 @@
     private val status = StatusListener(settings, meters, { isReady }, { dumpState() })
     private val stopped = CountDownLatch(1)
 
+    /** The event loop drops periodic work that throws. */
+    private val tickFailures = StepFailures("tick")
+
     @Volatile
     private var isReady = false
 
@@ -100,7 +104,9 @@
         awaitInitialState()
         warmUp()
         callers.open(settings.callers)
-        serving.loop.scheduleAtFixedRate({ tick() }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        serving.loop.scheduleAtFixedRate({
+            tickFailures.runCatching { tick() }
+        }, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
         serving.loop.schedule({ startBackground() }, BACKGROUND_DELAY_MS, TimeUnit.MILLISECONDS)
         Gauge.builder("medlarhook.requests.in.flight") { serving.requestsInFlight }.register(meters)
         Gauge.builder("medlarhook.callers.connections") { callerConnections.openConnections }.register(meters)
