--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -39,6 +39,11 @@
         registry.stop()
     }
 
+    /** Runs [task] on the event loop and waits for its end, so that a failure reaches the follower. */
+    private fun onLoop(task: () -> Unit) {
+        serving.loop.submit(Runnable(task)).get()
+    }
+
     private inner class ConfigFeed : FeedSource<ConfigRead> {
         override fun readAll(): Either<StoreFailure, ConfigRead> = store.readConfig()
 
@@ -51,7 +56,7 @@
         override fun clockGeneration(): Int = clockGeneration
 
         override fun received(read: ConfigRead, begunAtMs: Long, clockGeneration: Int) {
-            serving.loop.execute {
+            onLoop {
                 val config = read.config
                 if (config != null && serving.configure(config)) {
                     logger.event(
@@ -98,14 +103,19 @@
     }
 
     private inner class RegistrySink : FeedSink<RegistryRead> {
+        private val problems = RegistrationProblems()
+
         override fun clockGeneration(): Int = 0
 
         override fun received(read: RegistryRead, begunAtMs: Long, clockGeneration: Int) {
-            read.unreadable.forEach { logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it) }
-            logUpdate(read.update)
+            problems.observe(read).forEach {
+                logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it.id, "cause" to it.cause)
+            }
+            val unreadableIds = read.unreadable.map { it.id }.toSet()
+            logUpdate(read.update, unreadableIds)
             val position = registryFeed.eraBeforeRead?.let { RegistryPosition(it, read.position) }
-            val reading = RegistryReading(begunAtMs, position, read.unreadable.toSet())
-            serving.loop.execute { serving.updateRegistry(read.update, reading) }
+            val reading = RegistryReading(begunAtMs, position, unreadableIds)
+            onLoop { serving.updateRegistry(read.update, reading) }
         }
 
         override fun unreachable() {
@@ -115,7 +125,7 @@
         /** A drill is an outage that ends with the next read: live upstreams whose rows are gone register again. */
         override fun storeRestored() = unreachable()
 
-        private fun logUpdate(update: RegistryUpdate) {
+        private fun logUpdate(update: RegistryUpdate, unreadableIds: Set<String>) {
             when (update) {
                 is RegistryUpdate.Listing ->
                     logger.event(
@@ -125,16 +135,18 @@
                                 "${it.id}@${it.address} ${it.service} ${it.stage} ${it.softwareVersion}"
                             },
                     )
-                is RegistryUpdate.Changes ->
-                    if (update.written.isNotEmpty() || update.removedIds.isNotEmpty()) {
+                is RegistryUpdate.Changes -> {
+                    val removedIds = update.removedIds - unreadableIds
+                    if (update.written.isNotEmpty() || removedIds.isNotEmpty()) {
                         logger.event(
                             LogEvent.REGISTRY_CHANGED,
                             "written" to update.written.map {
                                 "${it.id}@${it.address} ${it.softwareVersion} draining=${it.isDraining}"
                             },
-                            "removed" to update.removedIds,
+                            "removed" to removedIds,
                         )
                     }
+                }
                 is RegistryUpdate.Unreachable -> Unit
             }
         }
