Read the rows of the usage duty that can't be decoded as unknown

By reading: a row of the shared clock or of a sum that can't be decoded ended each step of the usage reporter with an exception, for good, and so did the plain number that earlier programs wrote.

Change: an unreadable row of the clock counts as absent and is written anew, a plain number is an offset, and next to a sum that can't be read no other one is formed. Each is logged. Rows of the lease are still decoded strictly.

Evidence: three cases of SharedClockTest, which ended with an exception before.

--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/FrozenWindows.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/FrozenWindows.kt
@@ -1,11 +1,13 @@
 package org.medlarhook.serving.duty
 
+import arrow.core.Either
 import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.Serializable
 import org.medlarhook.core.lease.Authority
 import org.medlarhook.core.row.RowJson
 import org.medlarhook.ports.Condition
+import org.medlarhook.ports.Row
 import org.medlarhook.ports.RowKey
 import org.medlarhook.ports.TableFailure
 import org.medlarhook.ports.TableService
@@ -13,6 +15,7 @@
 import org.medlarhook.ports.Write
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
+import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.process.StoreEra
 
 private val logger = KotlinLogging.logger {}
@@ -45,7 +48,7 @@
         val tableEra = authority.scope.tableEra
         val key = keyOf(window, tableEra)
         val existing = tables.read(key).getOrElse { return null }
-        val known = existing?.let { RowJson.decode<FrozenWindow>(it.value).counts } ?: remembered[window]
+        val known = existing?.let { countsOf(it) ?: return null } ?: remembered[window]
         val counts = known ?: sum() ?: return null
         val conditions =
             listOfNotNull(
@@ -61,6 +64,13 @@
         return counts
     }
 
+    /** Returns null for a row that can't be read: a sum was written, and another one could differ. */
+    private fun countsOf(row: Row): Map<String, Long>? =
+        Either
+            .catch { RowJson.decode<FrozenWindow>(row.value).counts }
+            .onLeft { logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "sum", "row" to row.key.key) }
+            .getOrNull()
+
     private fun log(window: Long, counts: Map<String, Long>, authority: Authority) {
         logger.event(
             LogEvent.WINDOW_FROZEN,
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -1,6 +1,8 @@
 package org.medlarhook.serving.duty
 
+import arrow.core.Either
 import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.medlarhook.core.row.RowJson
 import org.medlarhook.core.serving.usage.SharedClockChoice
 import org.medlarhook.core.serving.usage.SharedClockRow
@@ -13,8 +15,12 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.ports.Transaction
 import org.medlarhook.ports.Write
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.process.StoreEra
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * The clock by which all processes number the usage windows: the store's clock plus an offset on which they agree in a
  * row of each era of the store.
@@ -94,7 +100,7 @@
         val wallGapMs = time.wallMs() - time.monotonicMs()
         return when (val choice = SharedClockChoice.of(state, current, before, sample, noticedAtMs, wallGapMs)) {
             is SharedClockChoice.Await -> null
-            is SharedClockChoice.Follow -> current!! to row.version
+            is SharedClockChoice.Follow -> current!! to row!!.version
             is SharedClockChoice.Write -> write(choice.row, keyOf(sample.era), row?.version ?: Condition.ABSENT)
         }
     }
@@ -118,11 +124,21 @@
     }
 
     private fun latestBefore(current: Long, rows: List<Row>): SharedClockRow? =
-        rows.filter { eraOf(it) < current }.maxByOrNull { eraOf(it) }?.let { decode(it) }
-
-    private fun decode(row: Row): SharedClockRow = RowJson.decode<SharedClockRow>(row.value)
-
-    private fun eraOf(row: Row): Long = row.key.key.substringAfter('@', "0").toLong()
+        rows
+            .mapNotNull { row -> eraOf(row)?.takeIf { it < current }?.let { era -> decode(row)?.let { era to it } } }
+            .maxByOrNull { it.first }
+            ?.second
+
+    /** Returns null for a row that can't be read, which counts as absent; a plain number is an offset alone. */
+    private fun decode(row: Row): SharedClockRow? =
+        row.value.toLongOrNull()?.let { SharedClockRow(it) }
+            ?: Either
+                .catch { RowJson.decode<SharedClockRow>(row.value) }
+                .onLeft {
+                    logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "shared clock", "row" to row.key.key)
+                }.getOrNull()
+
+    private fun eraOf(row: Row): Long? = row.key.key.substringAfter('@', "0").toLongOrNull()
 
     private fun keyOf(tableEra: Long): RowKey = RowKey(TABLE, if (tableEra == 0L) ROW else "$ROW@$tableEra")
 
--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/SharedClockTest.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/SharedClockTest.kt
@@ -71,6 +71,33 @@
         assertEquals(mapOf("w" to 1L), frozen.freeze(7, authority, clock) { mapOf("w" to 1L) })
     }
 
+    @Test
+    fun `Given rows that can't be read, then they count as absent`() {
+        listOf("offset" to "{", "offset@x" to "7").forEach { (key, value) ->
+            tables.transact(Transaction(emptyList(), listOf(Write(RowKey("clock", key), value))))
+        }
+
+        assertTrue(clock.agree())
+        assertEquals(world.wallMs() - world.monotonicMs(), clock.offsetMs)
+    }
+
+    @Test
+    fun `Given an offset as a plain number, as earlier programs write it, then the process follows it`() {
+        tables.transact(Transaction(emptyList(), listOf(Write(KEY, "1234"))))
+
+        assertTrue(clock.agree())
+        assertEquals(1_234, clock.offsetMs)
+    }
+
+    @Test
+    fun `Given a sum that can't be read, then no other one is formed`() {
+        assertTrue(clock.agree())
+        val key = RowKey("usage-window", windowKey(7))
+        tables.transact(Transaction(emptyList(), listOf(Write(key, "{"))))
+
+        assertNull(frozen.freeze(7, authority, clock) { mapOf("w" to 1L) })
+    }
+
     private companion object {
         val KEY = RowKey("clock", "offset")
     }
