Begin an era after all sums of clocks that differ, and write no clock after a suspension

By reading: a process may be ahead of its row of the shared clock by 1 s and the writer of the next beginning behind by 0.6 s, and the moment of notice was taken before the call that showed the era, so that the beginning could be too early by more than sums allow for. An offset was written before a suspension during the read was looked for.

Change: a witness puts the beginning 1.6 s later, the moment of notice is that of the answer, and the clocks are compared before the row is written.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/SharedClockChoice.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/SharedClockChoice.kt
@@ -20,6 +20,12 @@
         /** Clocks of two processes differ by less, if neither call to the store took longer. */
         public const val GREATEST_DIFFERENCE_MS: Long = 1_000
 
+        /**
+         * How far a process may have been ahead of the one that writes the beginning: it is ahead of its row by less than
+         * [GREATEST_DIFFERENCE_MS], and the writer behind by half of its call to the store and the drift.
+         */
+        public const val WITNESSED_MARGIN_MS: Long = 1_600
+
         /**
          * How far the clock of processes that have all started in an era of the store may be behind the one before it:
          * the store's clock may have gone back in the drill, and their wall clocks may have jumped back by seconds.
@@ -56,8 +62,13 @@
             val offsetMs =
                 ownOffsetMs?.takeIf { isWitness } ?: listOfNotNull(wallOffsetMs, ownOffsetMs, before?.offsetMs).max()
             if (sample.era == 0L) return Write(SharedClockRow(offsetMs))
-            val isUnwitnessed = !isWitness && (before != null || ownOffsetMs != null)
-            val noticedMs = noticedAtMs + sample.gapRangeMs.last + if (isUnwitnessed) UNWITNESSED_MARGIN_MS else 0
+            val marginMs =
+                when {
+                    isWitness -> WITNESSED_MARGIN_MS
+                    before != null || ownOffsetMs != null -> UNWITNESSED_MARGIN_MS
+                    else -> 0
+                }
+            val noticedMs = noticedAtMs + sample.gapRangeMs.last + marginMs
             val beganBeforeMs = listOfNotNull(before?.beganAtMs, state.beganAtMs).maxOfOrNull { it - offsetMs }
             return Write(SharedClockRow(offsetMs, maxOf(noticedMs, beganBeforeMs ?: noticedMs)))
         }
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -79,19 +79,20 @@
         val begunAtMs = time.monotonicMs()
         val rows = tables.scan(TABLE).getOrElse { return false }
         val sample = sampleSince(begunAtMs) ?: return false
-        notice(sample.era, begunAtMs)
+        notice(sample.era, sample.answeredAtMs)
         val row = rows.find { it.key == keyOf(sample.era) }
         val agreed = agreed(row, latestBefore(sample.era, rows), sample) ?: return false
-        return accept(agreed.first, agreed.second, sample)
+        return isUndisturbed(sample).also { if (it) follow(agreed.first, agreed.second, sample) }
     }
 
-    /** Follows [row], unless the process was suspended or the era has risen while it was read. */
-    private fun accept(row: SharedClockRow, version: Long, sample: StoreClockSample): Boolean {
-        if (era.current != sample.era || state.hasJumped(time.wallMs() - time.monotonicMs())) return false
+    /** True unless the process was suspended or the era has risen since the clocks were observed. */
+    private fun isUndisturbed(sample: StoreClockSample): Boolean =
+        era.current == sample.era && !state.hasJumped(time.wallMs() - time.monotonicMs())
+
+    private fun follow(row: SharedClockRow, version: Long, sample: StoreClockSample) {
         condition = Condition(keyOf(sample.era), version)
         state = state.agreed(row, sample)
         isOutdated = false
-        return true
     }
 
     /** Returns the row that the processes agree on, with its version, or null if that is not known yet. */
@@ -114,7 +115,7 @@
     /** Returns null also if the process was suspended during the call, which would make the sample wrong by as much. */
     private fun sampleSince(begunAtMs: Long): StoreClockSample? {
         val sample = clock.latest()?.takeIf { it.sentAtMs >= begunAtMs } ?: read()
-        return sample?.takeIf { it.tookMs <= SharedClockChoice.GREATEST_DIFFERENCE_MS && it.era == era.current }
+        return sample?.takeIf { it.tookMs <= SharedClockChoice.GREATEST_DIFFERENCE_MS && isUndisturbed(it) }
     }
 
     private fun read(): StoreClockSample? {
--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/SharedClockTest.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/SharedClockTest.kt
@@ -8,6 +8,7 @@
 import org.medlarhook.fakes.ManualTimeSource
 import org.medlarhook.ports.Condition
 import org.medlarhook.ports.RowKey
+import org.medlarhook.ports.TableService
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.ports.Transaction
 import org.medlarhook.ports.Write
@@ -98,6 +99,20 @@
         assertNull(frozen.freeze(7, authority, clock) { mapOf("w" to 1L) })
     }
 
+    @Test
+    fun `Given a suspension while the row is read, then no offset is written`() {
+        val suspending = object : TableService by tables {
+            override fun scan(table: String, prefix: String, afterKey: String, limit: Int) =
+                tables.scan(table, prefix, afterKey, limit).also {
+                    suspendedMs += 5_000
+                    world.advance(5_000)
+                }
+        }
+
+        assertFalse(SharedClock(suspending, storeClock, time, era).agree())
+        assertNull(tables.read(KEY).getOrNull())
+    }
+
     private companion object {
         val KEY = RowKey("clock", "offset")
     }
