--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/SharedClock.kt
@@ -1,6 +1,8 @@
 package org.medlarhook.serving.duty
 
+import arrow.core.Either
 import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.medlarhook.core.row.RowJson
 import org.medlarhook.core.serving.usage.SharedClockChoice
 import org.medlarhook.core.serving.usage.SharedClockRow
@@ -13,8 +15,12 @@
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.ports.Transaction
 import org.medlarhook.ports.Write
+import org.medlarhook.runtime.log.LogEvent
+import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.process.StoreEra
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * The clock by which all processes number the usage windows: the store's clock plus an offset on which they agree in a
  * row of each era of the store.
@@ -73,19 +79,20 @@
         val begunAtMs = time.monotonicMs()
         val rows = tables.scan(TABLE).getOrElse { return false }
         val sample = sampleSince(begunAtMs) ?: return false
-        notice(sample.era, begunAtMs)
+        notice(sample.era, sample.answeredAtMs)
         val row = rows.find { it.key == keyOf(sample.era) }
         val agreed = agreed(row, latestBefore(sample.era, rows), sample) ?: return false
-        return accept(agreed.first, agreed.second, sample)
+        return isUndisturbed(sample).also { if (it) follow(agreed.first, agreed.second, sample) }
     }
 
-    /** Follows [row], unless the process was suspended or the era has risen while it was read. */
-    private fun accept(row: SharedClockRow, version: Long, sample: StoreClockSample): Boolean {
-        if (era.current != sample.era || state.hasJumped(time.wallMs() - time.monotonicMs())) return false
+    /** True unless the process was suspended or the era has risen since the clocks were observed. */
+    private fun isUndisturbed(sample: StoreClockSample): Boolean =
+        era.current == sample.era && !state.hasJumped(time.wallMs() - time.monotonicMs())
+
+    private fun follow(row: SharedClockRow, version: Long, sample: StoreClockSample) {
         condition = Condition(keyOf(sample.era), version)
         state = state.agreed(row, sample)
         isOutdated = false
-        return true
     }
 
     /** Returns the row that the processes agree on, with its version, or null if that is not known yet. */
@@ -94,7 +101,7 @@
         val wallGapMs = time.wallMs() - time.monotonicMs()
         return when (val choice = SharedClockChoice.of(state, current, before, sample, noticedAtMs, wallGapMs)) {
             is SharedClockChoice.Await -> null
-            is SharedClockChoice.Follow -> current!! to row.version
+            is SharedClockChoice.Follow -> current!! to row!!.version
             is SharedClockChoice.Write -> write(choice.row, keyOf(sample.era), row?.version ?: Condition.ABSENT)
         }
     }
@@ -108,7 +115,7 @@
     /** Returns null also if the process was suspended during the call, which would make the sample wrong by as much. */
     private fun sampleSince(begunAtMs: Long): StoreClockSample? {
         val sample = clock.latest()?.takeIf { it.sentAtMs >= begunAtMs } ?: read()
-        return sample?.takeIf { it.tookMs <= SharedClockChoice.GREATEST_DIFFERENCE_MS && it.era == era.current }
+        return sample?.takeIf { it.tookMs <= SharedClockChoice.GREATEST_DIFFERENCE_MS && isUndisturbed(it) }
     }
 
     private fun read(): StoreClockSample? {
@@ -118,11 +125,21 @@
     }
 
     private fun latestBefore(current: Long, rows: List<Row>): SharedClockRow? =
-        rows.filter { eraOf(it) < current }.maxByOrNull { eraOf(it) }?.let { decode(it) }
-
-    private fun decode(row: Row): SharedClockRow = RowJson.decode<SharedClockRow>(row.value)
-
-    private fun eraOf(row: Row): Long = row.key.key.substringAfter('@', "0").toLong()
+        rows
+            .mapNotNull { row -> eraOf(row)?.takeIf { it < current }?.let { era -> decode(row)?.let { era to it } } }
+            .maxByOrNull { it.first }
+            ?.second
+
+    /** Returns null for a row that can't be read, which counts as absent; a plain number is an offset alone. */
+    private fun decode(row: Row): SharedClockRow? =
+        row.value.toLongOrNull()?.let { SharedClockRow(it) }
+            ?: Either
+                .catch { RowJson.decode<SharedClockRow>(row.value) }
+                .onLeft {
+                    logger.warnEvent(LogEvent.PLATFORM_CALL_FAILED, "call" to "shared clock", "row" to row.key.key)
+                }.getOrNull()
+
+    private fun eraOf(row: Row): Long? = row.key.key.substringAfter('@', "0").toLongOrNull()
 
     private fun keyOf(tableEra: Long): RowKey = RowKey(TABLE, if (tableEra == 0L) ROW else "$ROW@$tableEra")
 
