--- a/serving/src/main/kotlin/org/medlarhook/serving/call/LoopDelay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/LoopDelay.kt
@@ -2,7 +2,7 @@
 
 import org.medlarhook.core.serving.load.LoopObservation
 
-/** Observes how late the event loop is. Used on the event loop only; [schedule] runs a task on it after a time in ms. */
+/** Observes how late the event loop is. Used on that loop only; [schedule] runs a task on it after a time in ms. */
 internal class LoopDelay(
     private val schedule: (Long, () -> Unit) -> Unit,
 ) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RegistryCheck.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RegistryCheck.kt
@@ -4,7 +4,7 @@
 
 /** Asks the store whether the registry has changed. */
 internal fun interface RegistryCheck {
-    /** Begins a read of what changed after [from], and calls [onRead] once on the event loop, with null if it failed. */
+    /** Begins a read of what changed after [from]; calls [onRead] once on the event loop, with null if it failed. */
     fun changesAfter(from: RegistryPosition, onRead: (CheckedRegistry?) -> Unit)
 }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RegistryConfirmations.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RegistryConfirmations.kt
@@ -42,8 +42,9 @@
     private var isOverdue = false
 
     /**
-     * Calls [onConfirmed] with the time at which a read began that shows the registry as it is known here, and that began
-     * after this call; or with null if there is none within [TIMEOUT_MS], or at once while the store does not answer.
+     * Calls [onConfirmed] with the time at which a read began that shows the registry as it is known here, and that
+     * began after this call; or with null if there is none within [TIMEOUT_MS], or at once while the store does not
+     * answer.
      */
     fun confirm(onConfirmed: (Long?) -> Unit) {
         if (check == null || knownTo() == null || isOverdue) return onConfirmed(null)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -176,7 +176,7 @@
     private fun isLeaving(upstream: Upstream): Boolean =
         availability.isLeaving(upstream.incarnation) || registry.find(upstream.id)?.isDraining != false
 
-    /** Counts a request that arrived at [arrivedAtMs] as in flight, and admits it or refuses it by its route and key. */
+    /** Counts a request that arrived at [arrivedAtMs] as in flight; admits it or refuses it by its route and key. */
     fun admit(call: CallerCall, arrivedAtMs: Long): Admission {
         inFlight++
         val current = config ?: return Admission.Refused(ResultCode.NO_CONFIG, RETRY_WITHOUT_CONFIG_MS)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
@@ -19,8 +19,8 @@
  *
  * Callers take up a stream at another process than the one that began it. Each process that does not know a service to
  * have a single version tells others of its streams there, and so does one that stops; a process asks the others for a
- * stream that it does not know. Without a record, a version is inferred from the registry only as it is after the stream
- * was taken up, which [confirmations] shows.
+ * stream that it does not know. Without a record, a version is inferred from the registry only as it is after the
+ * stream was taken up, which [confirmations] shows.
  *
  * @param clockGeneration compares the clocks and returns a number that changes when the process was suspended.
  */
@@ -171,7 +171,7 @@
     private fun reportOf(recorded: StreamOrigin): OriginReport? =
         (recorded as? StreamOrigin.BegunAt)?.let { OriginReport(it.service, it.softwareVersion, isRecorded = true) }
 
-    /** The version that [stream] may be inferred to have, if this process has watched for long enough, or another one. */
+    /** The version that [stream] is inferred to have, if this process has watched for long enough, or another one. */
     private fun versionSeen(stream: StreamQuestion): String? {
         if (!stream.hasOneService) return null
         noticeSuspension()
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
@@ -55,8 +55,8 @@
  * @property service the service that would go on with it.
  * @property hasOneService true if the route has no other service that may have begun it.
  * @property streamMs how long ago it may have begun.
- * @property watchedFrom from where on the asking process knows all changes of the registry, up to a read that began after
- * the stream was taken up; or null if only a record of the stream answers the question.
+ * @property watchedFrom from where on the asking process knows all changes of the registry, up to a read that began
+ * after the stream was taken up; or null if only a record of the stream answers the question.
  */
 @Serializable
 internal data class StreamQuestion(
