--- a/core/src/main/kotlin/org/medlarhook/core/serving/usage/SharedClockChoice.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/usage/SharedClockChoice.kt
@@ -21,8 +21,8 @@
         public const val GREATEST_DIFFERENCE_MS: Long = 1_000
 
         /**
-         * How far a process may have been ahead of the one that writes the beginning: it is ahead of its row by less than
-         * [GREATEST_DIFFERENCE_MS], and the writer behind by half of its call to the store and the drift.
+         * How far a process may have been ahead of the one that writes the beginning: it is ahead of its row by less
+         * than [GREATEST_DIFFERENCE_MS], and the writer behind by half of its call to the store and the drift.
          */
         public const val WITNESSED_MARGIN_MS: Long = 1_600
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/FrozenWindows.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/FrozenWindows.kt
@@ -58,10 +58,10 @@
             )
         val written = tables.transact(Transaction(conditions, listOf(write(key, counts))))
         written.onLeft { if (it is TableFailure.Conflict) sharedClock.outdate() }
-        if (written.isLeft() || era.current != tableEra) return null
-        remembered[window] = counts
-        if (known == null) log(window, counts, authority)
-        return counts
+        val isWritten = written.isRight() && era.current == tableEra
+        if (isWritten) remembered[window] = counts
+        if (isWritten && known == null) log(window, counts, authority)
+        return counts.takeIf { isWritten }
     }
 
     /** Returns null for a row that can't be read: a sum was written, and another one could differ. */
