Let the simulated store tell its clock with each answer to a read

The adapter of the users' platform keeps the clock of the latest answer, by which a process notices a suspension that its wall clock hides.

--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimCalls.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimCalls.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.serving.duty.simulation
 
+import org.medlarhook.core.serving.usage.StoreClockSample
 import org.medlarhook.serving.process.StoreEra
 
 /**
@@ -21,27 +22,35 @@
     override var current: Long? = null
         private set
 
-    /** An outcome of a call: null if no answer came. */
+    /** The clock of the store in the latest answer to a read, as the adapter of the store keeps it. */
+    var latestClock: StoreClockSample? = null
+        private set
+
+    /** An answer of the store, which gave it in [era] when its clock stood at [storeMs]; no era while it is away. */
     private class Reply<T>(
         val value: T,
         val era: Long?,
+        val storeMs: Long = 0,
     )
 
     /** A call of the store, performed by [perform]; [refused] is the answer of a store that is down. */
     fun <T> store(call: SimCall, refused: T, perform: () -> T): T? {
+        val sentAtMs = vm.monotonicMs()
         val reply =
             outward<Reply<T>>(call, { store.faultFor(vm) == StoreFault.SLOW }, isToPlatform = false) { _, answer ->
                 val fault = store.faultFor(vm)
                 val isAnswered = fault != StoreFault.LOSES_ANSWERS || random.nextBoolean()
                 when {
                     store.isAway -> answer(Reply(refused, era = null))
-                    fault == StoreFault.DOWN -> answer(Reply(refused, store.era))
+                    fault == StoreFault.DOWN -> answer(Reply(refused, store.era, store.currentMs))
                     fault == StoreFault.PERFORMS_LATE && random.nextBoolean() ->
                         world.after(random.nextLong(1_000, 6_000)) { if (!store.isAway) perform() }
-                    else -> perform().let { if (isAnswered) answer(Reply(it, store.era)) }
+                    else -> perform().let { if (isAnswered) answer(Reply(it, store.era, store.currentMs)) }
                 }
             } ?: return null
-        return reply.value.takeIf { reply.era == null || observe(reply.era) }
+        val era = reply.era ?: return reply.value
+        if (call == SimCall.READ || call == SimCall.CLOCK_READ) observeClock(reply.storeMs, sentAtMs, era)
+        return reply.value.takeIf { observe(era) }
     }
 
     /** Delivers a report if [isPermitted] holds once there is a connection, and returns true if that is confirmed. */
@@ -97,12 +106,22 @@
         return reply.takeUnless { isTimedOut }
     }
 
-    /** Learns the era as the feeds do, which read from the store all the time. */
-    fun followEra() {
+    /** Learns the era and the clock as the feeds do, which read from the store all the time. */
+    fun followEra(sentAtMs: Long = vm.monotonicMs()) {
         if (process.isEnded) return
         val isReachable = vm.link.passesRequest(false) && vm.link.passesAnswer(false) && !vm.isSuspended
-        if (isReachable && !store.isAway && store.faultFor(vm) == null) observe(store.era)
-        world.after(random.nextLong(FEED_MS)) { followEra() }
+        if (isReachable && !store.isAway && store.faultFor(vm) == null) {
+            observeClock(store.currentMs, sentAtMs, store.era)
+            observe(store.era)
+        }
+        val nextSentAtMs = vm.monotonicMs()
+        world.after(random.nextLong(FEED_MS)) { followEra(nextSentAtMs) }
+    }
+
+    private fun observeClock(storeMs: Long, sentAtMs: Long, era: Long) {
+        val before = latestClock
+        if (before != null && (before.era > era || before.sentAtMs > sentAtMs)) return
+        latestClock = StoreClockSample(storeMs, sentAtMs, vm.monotonicMs(), era)
     }
 
     private fun observe(era: Long): Boolean {
--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPorts.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPorts.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import org.medlarhook.core.serving.usage.StoreClockSample
 import org.medlarhook.ports.Committed
 import org.medlarhook.ports.Row
 import org.medlarhook.ports.RowKey
@@ -53,6 +54,8 @@
     private val store: SimStore,
 ) : StoreClock {
     override fun readMs(): Long? = calls.store<Long?>(SimCall.CLOCK_READ, null) { store.currentMs }
+
+    override fun latest(): StoreClockSample? = calls.latestClock
 }
 
 /** The platform as one process reaches it. */
