--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPlatform.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPlatform.kt
@@ -48,7 +48,7 @@
         fencingToken: Long,
         sentAtMs: Long,
     ) {
-        val isImpaired = impairedTimes.any { sentAtMs <= it.last && world.nowMs >= it.first }
+        val isImpaired = impairedTimes.any { world.nowMs in it }
         val isExcused = isImpaired || sender.excuses.any { world.nowMs in it }
         accepted += SimReport(world.nowMs, window, counts, holder, fencingToken, isExcused)
     }
