--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimCalls.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimCalls.kt
@@ -37,7 +37,7 @@
     fun <T> store(call: SimCall, refused: T, perform: () -> T): T? {
         val sentAtMs = vm.monotonicMs()
         val reply =
-            outward<Reply<T>>(call, { store.faultFor(vm) == StoreFault.SLOW }, isToPlatform = false) { _, answer ->
+            outward<Reply<T>>(call, { store.faultFor(vm) == StoreFault.SLOW }, isToPlatform = false) { answer ->
                 val fault = store.faultFor(vm)
                 val isAnswered = fault != StoreFault.LOSES_ANSWERS || random.nextBoolean()
                 when {
@@ -64,10 +64,10 @@
         simulation.lastReporter = vm
         if (random.nextInt(CALLS_A_CONNECTION) == 0) process.pauseFor(random.nextLong(CONNECT_TIMEOUT_MS))
         if (!isPermitted()) return false
-        return outward<Boolean>(SimCall.REPORT, { platform.fault == PlatformFault.SLOW }, true) { sentAtMs, answer ->
+        return outward<Boolean>(SimCall.REPORT, { platform.fault == PlatformFault.SLOW }, true) { answer ->
             val fault = platform.fault
             if (fault != PlatformFault.DOWN) {
-                platform.accept(window, counts, vm, holder, fencingToken, sentAtMs)
+                platform.accept(window, counts, vm, holder, fencingToken)
                 simulation.trace { "platform gets window $window $counts from ${process.name} with $fencingToken" }
             }
             if (fault != PlatformFault.LOSES_ANSWERS || random.nextBoolean()) answer(fault != PlatformFault.DOWN)
@@ -78,7 +78,7 @@
         call: SimCall,
         isSlow: () -> Boolean,
         isToPlatform: Boolean,
-        arrive: (sentAtMs: Long, answer: (T) -> Unit) -> Unit,
+        arrive: (answer: (T) -> Unit) -> Unit,
     ): T? {
         process.awaitRunning()
         simulation.reached(CallMoment(call, CallPhase.LEAVING))
@@ -89,11 +89,10 @@
         var reply: T? = null
         world.after(arrivesInMs) {
             if (!vm.link.passesRequest(isToPlatform)) return@after
-            arrive(startedAtMs) { answer ->
+            arrive { answer ->
                 world.after(answersInMs) {
                     if (vm.link.passesAnswer(isToPlatform)) {
-                        reply =
-                            answer
+                        reply = answer
                     }
                 }
             }
--- a/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPlatform.kt
+++ b/serving/src/test/kotlin/org/medlarhook/serving/duty/simulation/SimPlatform.kt
@@ -46,7 +46,6 @@
         sender: SimVm,
         holder: String,
         fencingToken: Long,
-        sentAtMs: Long,
     ) {
         val isImpaired = impairedTimes.any { world.nowMs in it }
         val isExcused = isImpaired || sender.excuses.any { world.nowMs in it }
