Log up to ten unreadable messages of processes in ten seconds

Several different faults in one second are worth a line each. The limit is ten lines in ten seconds now.

--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -53,7 +53,8 @@
     private val untold = ArrayList<BegunStream>()
     private val openQuestions = HashMap<Long, OpenQuestion>()
     private var nextQuestion = Random.nextLong()
-    private var unreadableLoggedAtMs: Long? = null
+    private var unreadableSinceMs: Long? = null
+    private var unreadableLogged = 0
 
     private class OpenQuestion(
         var awaited: Int,
@@ -206,9 +207,12 @@
 
         private fun logUnreadable(sender: InetSocketAddress, failure: Throwable) {
             val nowMs = time.monotonicMs()
-            val loggedAtMs = unreadableLoggedAtMs
-            if (loggedAtMs != null && nowMs - loggedAtMs < LOG_INTERVAL_MS) return
-            unreadableLoggedAtMs = nowMs
+            val sinceMs = unreadableSinceMs
+            if (sinceMs == null || nowMs - sinceMs >= LOG_INTERVAL_MS) {
+                unreadableSinceMs = nowMs
+                unreadableLogged = 0
+            }
+            if (++unreadableLogged > LOGGED_IN_INTERVAL) return
             val cause = "$failure".take(MAX_CAUSE_CHARS)
             logger.warnEvent(LogEvent.PEER_MESSAGE_UNREADABLE, "from" to "$sender", "cause" to cause)
         }
@@ -235,8 +239,9 @@
         /** Processes to which evidence of crashes is repeated each time. */
         const val REPEATS = 3
 
-        /** Unreadable messages are logged once in this time. */
-        const val LOG_INTERVAL_MS = 1_000L
+        /** In this time at most [LOGGED_IN_INTERVAL] unreadable messages are logged. */
+        const val LOG_INTERVAL_MS = 10_000L
+        const val LOGGED_IN_INTERVAL = 10
         const val MAX_CAUSE_CHARS = 300
 
         /** A round trip between regions and a pause of a busy process; the caller waits meanwhile. */
