--- a/review/lab/Front.java
+++ b/review/lab/Front.java
@@ -27,6 +27,10 @@
 
     /** Settings like those of DEPLOY.md's example. The metrics port of the deploy file is free at a host of its own. */
     Front(String node, String host, String zone, Store store, Path folder) throws IOException {
+        this(node, host, zone, store.address(), folder);
+    }
+
+    Front(String node, String host, String zone, String storeAddress, Path folder) throws IOException {
         this.host = host;
         callersPort = freePort(host);
         readyPort = freePort(host);
@@ -65,7 +69,7 @@
                 platform.address=%s
                 cloud.address=%s
                 """.formatted(node, host, zone, host, callersPort, host, readyPort, internal, internal,
-                store.address(), store.address());
+                storeAddress, storeAddress);
         for (String line : text.split("\n")) settings.put(line.split("=", 2)[0], line.split("=", 2)[1]);
     }
 
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -118,8 +118,12 @@
     }
 
     static void register(Store store, Runner runner, String service, int slots, long born) {
+        register(store, runner, service, slots, born, 0);
+    }
+
+    static void register(Store store, Runner runner, String service, int slots, long born, int coldRemainingMs) {
         store.put("servers", runner.id, "{\"service\":\"" + service + "\",\"address\":\"" + runner.address()
                 + "\",\"zone\":\"valle-a\",\"version\":\"v1\",\"slots\":" + slots
-                + ",\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1,\"born\":" + born + "}");
+                + ",\"state\":\"ready\",\"cold_remaining_ms\":" + coldRemainingMs + ",\"sequence\":1,\"born\":" + born + "}");
     }
 }
--- a/review/lab/Store.java
+++ b/review/lab/Store.java
@@ -19,7 +19,8 @@
 /**
  * Stand-in of the platform's metadata store and of the service that takes usage reports.
  *
- * Rows, transactions, range reads and feeds follow PROTOCOL.md. A feed returns the newest state of each changed row.
+ * Rows, transactions, range reads and feeds follow PROTOCOL.md. A feed returns the changes of its table in order, from the
+ * history; a row that has changed twice is in it twice.
  */
 final class Store {
     private static final class Row {
@@ -27,8 +28,13 @@
         long version;
     }
 
+    private record Change(String table, long version, String json) {}
+
     final ServerSocket server;
     private final TreeMap<String, Row> rows = new TreeMap<>();
+
+    /** All changes as table, version and row of an answer; a case is shorter than the history of a store. */
+    private final List<Change> history = new ArrayList<>();
     private final long startedNs = System.nanoTime();
     private long version = 1;
 
@@ -45,17 +51,22 @@
         Row row = new Row();
         row.value = Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8));
         row.version = ++version;
-        rows.put(table + "\0" + key, row);
+        change(table, key, row);
         notifyAll();
     }
 
     synchronized void remove(String table, String key) {
         Row row = new Row();
         row.version = ++version;
-        rows.put(table + "\0" + key, row);
+        change(table, key, row);
         notifyAll();
     }
 
+    private void change(String table, String key, Row row) {
+        rows.put(table + "\0" + key, row);
+        history.add(new Change(table, row.version, json(table, key, row)));
+    }
+
     private void acceptAll() {
         while (!server.isClosed()) {
             try {
@@ -133,16 +144,12 @@
         long after = Long.parseLong(query.get("after"));
         long untilNs = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
         while (true) {
-            TreeMap<Long, String> changed = new TreeMap<>();
-            rows.forEach((name, row) -> {
-                String table = name.substring(0, name.indexOf('\0'));
-                if (table.equals(query.get("table")) && row.version > after) {
-                    changed.merge(row.version * 1000, json(table, name.substring(name.indexOf('\0') + 1), row),
-                            (a, b) -> a + "," + b);
-                }
-            });
+            List<String> changed = new ArrayList<>();
+            for (Change change : history) {
+                if (change.version > after && change.table.equals(query.get("table"))) changed.add(change.json);
+            }
             long leftMs = (untilNs - System.nanoTime()) / 1_000_000;
-            if (!changed.isEmpty() || leftMs <= 0) return page(new ArrayList<>(changed.values()), false);
+            if (!changed.isEmpty() || leftMs <= 0) return page(changed, false);
             wait(leftMs);
         }
     }
@@ -169,12 +176,12 @@
             Row row = new Row();
             row.value = put.get("value");
             row.version = version;
-            rows.put(put.get("table") + "\0" + put.get("key"), row);
+            change(put.get("table"), put.get("key"), row);
         }
         for (Map<String, String> removed : objects(body, "remove")) {
             Row row = new Row();
             row.version = version;
-            rows.put(removed.get("table") + "\0" + removed.get("key"), row);
+            change(removed.get("table"), removed.get("key"), row);
         }
         notifyAll();
         return "200{\"row_version\":" + version + ",\"current_ms\":" + (System.nanoTime() - startedNs) / 1_000_000
