--- a/review/lab/UploadCase.java
+++ b/review/lab/UploadCase.java
@@ -67,12 +67,13 @@
             String id = String.format("u%08x", i);
             Lab.daemon(() -> upload(front, id, bytes));
         }
-        for (int i = 1; i <= 6; i++) {
+        for (int i = 1; i <= 12; i++) {
             Thread.sleep(5000);
             Lab.log(5 * i + " s after the uploads have begun: bookings served " + served + ", ready "
                     + front.isReady() + ", uploads answered " + uploaded + ", not answered " + notUploaded);
         }
         isOver.set(true);
+        longestGapMs.accumulateAndGet((System.nanoTime() - lastServedNs.get()) / 1_000_000, Math::max);
         for (String line : front.logLines("OutOfMemory")) Lab.log("log of the front: " + line);
         Lab.say("bookings served " + served + ", failed with an answer " + failed + "; longest time without one served "
                 + longestGapMs + " ms");
