--- a/review/lab/Front.java
+++ b/review/lab/Front.java
@@ -89,22 +89,29 @@
                 java.nio.file.StandardCopyOption.REPLACE_EXISTING);
     }
 
+    /** Starts the process and returns when it is ready. */
     void start() throws IOException, InterruptedException {
+        launch();
+        long untilNs = System.nanoTime() + 30_000_000_000L;
+        while (!isReady()) {
+            if (System.nanoTime() > untilNs || !process.isAlive()) throw new IOException("the front is not ready");
+            Thread.sleep(50);
+        }
+    }
+
+    /** Starts the process. */
+    void launch() throws IOException {
         writeSettings();
         Matcher run = Pattern.compile("(?m)^run = \"(.*)\"$").matcher(Files.readString(Path.of("deploy/system.toml")));
         if (!run.find()) throw new IOException("deploy/system.toml has no run command");
         List<String> command = new ArrayList<>(List.of(run.group(1).split(" ")));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile());
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(
+                ProcessBuilder.Redirect.appendTo(log.toFile()));
         Map<String, String> environment = builder.environment();
         environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
         environment.put("MEDLARHOOK_CONFIG", file.toString());
         process = builder.directory(new File(".")).start();
         Lab.started.add(process);
-        long untilNs = System.nanoTime() + 30_000_000_000L;
-        while (!isReady()) {
-            if (System.nanoTime() > untilNs || !process.isAlive()) throw new IOException("the front is not ready");
-            Thread.sleep(50);
-        }
     }
 
     boolean isReady() {
--- a/review/lab/Store.java
+++ b/review/lab/Store.java
@@ -35,6 +35,9 @@
 
     /** All changes as table, version and row of an answer; a case is shorter than the history of a store. */
     private final List<Change> history = new ArrayList<>();
+
+    /** Called with each usage report, before it is answered. */
+    volatile java.util.function.Consumer<Message> onUsage = report -> {};
     private final long startedNs = System.nanoTime();
     private long version = 1;
 
@@ -112,6 +115,7 @@
                         URLDecoder.decode(pair.substring(at + 1), StandardCharsets.UTF_8));
             }
         }
+        if (path.equals("/usage")) onUsage.accept(request);
         return switch (path) {
             case "/api/rows-get" -> get(query);
             case "/api/rows-feed" -> feed(query);
