--- a/review/lab/Front.java
+++ b/review/lab/Front.java
@@ -127,7 +127,7 @@
     }
 
     void signal(String name) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor(5, TimeUnit.SECONDS);
+        new ProcessBuilder("bash", "-c", "kill -" + name + " " + process.pid()).start().waitFor(5, TimeUnit.SECONDS);
     }
 
     /** The lines of the log that hold [text]. */
