--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,8 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")/../.."
+cd "$(dirname "$0")/../.." || exit 2
+if [ ! -e target/medlarhook ] || [ ! -e target/review/review/StreamCutCase.class ]; then
+  echo "run deploy/build.sh and review/build.sh first"
+  exit 2
+fi
 exec java -Xmx512m -cp target/review review.StreamCutCase review/1/record.txt
