Accept only a stream that goes on behind the last event as the rest of a begun stream

Cause: Relay.begin returned at once if a stream had begun. Status, media type and framing of the second answer were ignored, its body was read as events and its end ended the stream. Ids were not compared with the last event that was sent.

A lead is refuted: a plain error before the stream has begun is returned whole, also on the old code (last case).

Change: an answer that is no stream is a failed attempt (stream_not_continued), and events that don't go on behind the last one are an unreadable answer. Both are retried within the route's attempts, the time and the budgets, else the caller's connection is reset. The first token of an answer counts only if its events were accepted. A stream whose last event has no id is not resumed, as that event would come twice.

This works because everything that reaches the caller of a begun stream passes these two checks, whatever the second answer is.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -34,6 +34,7 @@
                 account { tracker.notRun(head) }
                 exchange.attemptNotRun(head.isMisdirected)
             }
+            !relay.accepts(head) -> failNotContinued()
             head.isUnstampedSuccess || head.isEncoded -> failUnreadable()
             head.isUnfoundedPromise && !exchange.mayRunAgain -> failUnreadable()
             head.status >= FIRST_SERVER_ERROR -> {
@@ -54,6 +55,13 @@
         handle?.discardRest()
     }
 
+    /** Ends an attempt to resume a stream that was answered with anything but a stream, such as an error. */
+    private fun failNotContinued() {
+        discardRest()
+        account { tracker.failed(wasSent = true) }
+        exchange.attemptFailed(AttemptFailure.STREAM_NOT_CONTINUED, wasSent = true)
+    }
+
     private fun failUnreadable() {
         isDiscarding = true
         account { tracker.failed(wasSent = true) }
@@ -65,10 +73,11 @@
     override fun onBody(bytes: ByteBuf) {
         if (isDiscarding) return
         bodyReads++
-        if (head?.isStream == true) tracker.firstTokenReceived() else tracker.runStarted()
+        tracker.runStarted()
         val isKept = relay.body(bytes)
         if (relay.hasBegun) exchange.eventsDelivered()
         if (!isKept) return failUnreadable()
+        if (head?.isStream == true) tracker.firstTokenReceived()
         handle?.setReading(relay.isCallerWritable)
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -6,8 +6,7 @@
 /**
  * Splits a stream into complete events, so that a caller never receives a part of an event whose rest may be lost.
  *
- * A line ends with a line feed, a carriage return, or both; an empty line ends an event. Keeps the last event id that
- * it returned, after which another upstream can resume the stream.
+ * A line ends with a line feed, a carriage return, or both; an empty line ends an event.
  */
 internal class EventSplitter {
     private val pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
@@ -24,15 +23,11 @@
     var isInsideEvent = false
         private set
 
-    /** The last event id that was returned, or null before the first. */
-    var lastEventId: Long? = null
-        private set
-
     /** Bytes of an event whose end has not arrived. */
     val pendingBytes: Int get() = pending.readableBytes()
 
     /** Appends [bytes] and returns all complete events, or null if there is none. */
-    fun append(bytes: ByteBuf): ByteBuf? {
+    fun append(bytes: ByteBuf): EventBatch? {
         pending.writeBytes(bytes)
         var end = 0
         while (position < pendingBytes) {
@@ -45,8 +40,7 @@
         pending.discardReadBytes()
         position -= end
         lineStart -= end
-        lastEventId = lastIdIn(events) ?: lastEventId
-        return events
+        return EventBatch(events, idsIn(events))
     }
 
     /** Returns the bytes that are left at the end of a stream, or null if there are none. */
@@ -79,15 +73,28 @@
 
     private fun isLineEnd(byte: Byte): Boolean = byte == LINE_FEED || byte == CARRIAGE_RETURN
 
-    private fun lastIdIn(events: ByteBuf): Long? =
-        events.toString(Charsets.ISO_8859_1).lines().asReversed().firstNotNullOfOrNull { line ->
-            if (line.startsWith(ID_FIELD)) line.substring(ID_FIELD.length).trim().toLongOrNull() else null
+    private fun idsIn(events: ByteBuf): List<Long?> {
+        val ids = ArrayList<Long?>()
+        var id: Long? = null
+        var isEvent = false
+        for (line in events.toString(Charsets.ISO_8859_1).lineSequence()) {
+            if (line.isNotEmpty()) {
+                isEvent = isEvent || !line.startsWith(COMMENT_PREFIX)
+                if (line.startsWith(ID_FIELD)) id = line.substring(ID_FIELD.length).trim().toLongOrNull() ?: id
+            } else if (isEvent) {
+                ids += id
+                id = null
+                isEvent = false
+            }
         }
+        return ids
+    }
 
     private companion object {
         const val INITIAL_BYTES = 1_024
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val COMMENT_PREFIX = ":"
         const val COMMENT = ':'.code.toByte()
         const val ID_FIELD = "id:"
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -9,7 +9,8 @@
  *
  * A plain answer is buffered until it is complete, so that a truncated one never reaches the caller. A stream is
  * forwarded in complete events. Its head is sent with the first event, so that until then another upstream can still
- * serve the request. An answer that is too large to be kept is taken for one without end.
+ * serve the request. Afterwards only a stream that goes on behind the last event may follow. An answer that is too
+ * large to be kept is taken for one without end.
  */
 internal class Relay(
     private val format: CallFormat,
@@ -21,14 +22,18 @@
     private var splitter: EventSplitter? = null
     private var fullBody: AnswerBuffers.AnswerBuffer? = null
 
+    /** The last event that was sent before the current attempt, or null if the attempt began the stream. */
+    private var resumedAfterId: Long? = null
+    private var lastSentId: Long? = null
+
     /** True once a part of the answer has been sent to the caller. */
     var hasBegun = false
         private set
 
-    /** The last event id that was sent to the caller, or null if none was. */
-    val lastEventId: Long? get() = splitter?.lastEventId?.takeIf { hasBegun }
+    /** The id of the last event that was sent to the caller, or null if none was or it has none. */
+    val lastEventId: Long? get() = lastSentId
 
-    /** True if another upstream can continue: nothing was sent to the caller yet, or an event id was. */
+    /** True if another upstream can continue: nothing was sent to the caller yet, or the last event has an id. */
     val canResume: Boolean get() = !hasBegun || lastEventId != null
 
     /** True if the stream has ended although its last event has not. */
@@ -36,9 +41,15 @@
 
     val isCallerWritable: Boolean get() = caller.isWritable
 
-    /** Starts an answer with [head]; after an interruption, continues the stream that was begun before. */
+    /** False if an answer with [head] can't be forwarded, because a stream has begun that it does not continue. */
+    fun accepts(head: UpstreamHead): Boolean = !hasBegun || head.isStream
+
+    /** Starts an answer with [head], which is accepted; after an interruption, continues the stream that has begun. */
     fun begin(head: UpstreamHead, response: HttpResponse) {
-        if (hasBegun) return
+        if (hasBegun) {
+            resumedAfterId = lastSentId
+            return
+        }
         status = head.status
         headers = format.callerHeaders(response)
         if (head.isStream) {
@@ -48,10 +59,14 @@
         }
     }
 
-    /** Takes a part of the body; returns false if the answer, or an event of the stream, is too large to be kept. */
+    /**
+     * Takes a part of the body. Returns false if the answer, or an event of the stream, is too large to be kept, or if
+     * the events do not go on behind the last one that was sent.
+     */
     fun body(bytes: ByteBuf): Boolean {
         val events = splitter ?: return fullBody?.append(bytes) ?: true
-        events.append(bytes)?.let { deliver(it) }
+        val batch = events.append(bytes)
+        if (batch != null && !deliver(batch)) return false
         return events.pendingBytes <= MAX_EVENT_BYTES
     }
 
@@ -82,9 +97,15 @@
         fullBody = null
     }
 
-    private fun deliver(events: ByteBuf) {
+    private fun deliver(batch: EventBatch): Boolean {
+        if (resumedAfterId != null && !batch.continues(lastSentId!!)) {
+            batch.bytes.release()
+            return false
+        }
         if (!hasBegun) beginStream()
-        caller.stream(events)
+        if (batch.ids.isNotEmpty()) lastSentId = batch.ids.last()
+        caller.stream(batch.bytes)
+        return true
     }
 
     private fun beginStream() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -44,6 +44,9 @@
     /** The answer's body is complete, but the stream of events in it ends inside an event. */
     STREAM_BROKEN_OFF,
 
+    /** A stream was to be resumed, and the answer is no stream. */
+    STREAM_NOT_CONTINUED,
+
     /** The upstream said that it wants no more work while the connection to it was being opened. */
     WORK_NOT_ACCEPTED,
     ;
