Apply the changes of a registry page in their order

Cause: a page of the registry's feed was divided into written and removed rows, and all removals were applied before all writes. A row that was written and then removed within one page stayed in use until the table was read whole. The same loss of order kept a row that was written readable and then unreadable, and retained an upstream that had said that it drains before it was removed while the store came back.

Change: RegistryUpdate.Changes holds the changes in order, and the registry applies them one by one.

This works because the state after a page is that after each of its changes, so that it does not matter how the store divides them (the property that is tested).

--- a/core/src/main/kotlin/org/medlarhook/core/serving/fleet/UpstreamRegistry.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/fleet/UpstreamRegistry.kt
@@ -51,13 +51,20 @@
         return copy(upstreams = present, retained = retain(lapsed, nowMs))
     }
 
-    private fun changed(changes: RegistryUpdate.Changes, nowMs: Long): UpstreamRegistry {
-        val written = changes.written.associateBy { it.id }
-        val lapsed = changes.removedIds.mapNotNull { upstreams[it] }
-        val remaining = upstreams.mutate { map -> changes.removedIds.forEach { map.remove(it) } }
-        val latest = remaining.putAll(written)
-        return copy(upstreams = latest, retained = retain(retained.values.filter { it.id !in written } + lapsed, nowMs))
-    }
+    /** Applies the changes one by one, so that it does not matter how the registry divides them into updates. */
+    private fun changed(update: RegistryUpdate.Changes, nowMs: Long): UpstreamRegistry =
+        update.changes.fold(this) { registry, change ->
+            when (change) {
+                is RegistryChange.Written -> registry.registered(change.upstream)
+                is RegistryChange.Removed, is RegistryChange.Unreadable -> registry.lapsed(change.id, nowMs)
+            }
+        }
+
+    private fun registered(upstream: Upstream): UpstreamRegistry =
+        copy(upstreams = upstreams.put(upstream.id, upstream), retained = retained.remove(upstream.id))
+
+    private fun lapsed(id: String, nowMs: Long): UpstreamRegistry =
+        copy(upstreams = upstreams.remove(id), retained = retain(retained.values + listOfNotNull(upstreams[id]), nowMs))
 
     private fun retain(lapsed: List<Upstream>, nowMs: Long): PersistentMap<String, Upstream> =
         if (!isRecovering(nowMs)) {
@@ -66,10 +73,6 @@
             lapsed.filter { !it.isDraining }.associateBy { it.id }.toPersistentMap()
         }
 
-    private fun PersistentMap<String, Upstream>.mutate(
-        change: (MutableMap<String, Upstream>) -> Unit,
-    ): PersistentMap<String, Upstream> = builder().also(change).build()
-
     private companion object {
         /** Upstreams register again within two seconds of an outage's end; the rest covers the delay of the update. */
         const val REREGISTRATION_MS = 2_300L
--- a/core/src/test/kotlin/org/medlarhook/core/serving/resume/ReleaseReplay.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/resume/ReleaseReplay.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.core.serving.resume
 
+import org.medlarhook.core.serving.fleet.RegistryChange
 import org.medlarhook.core.serving.fleet.RegistryPosition
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.core.serving.fleet.Upstream
@@ -82,8 +83,8 @@
                 apply(RegistryUpdate.Listing(current()))
             } else {
                 val latest = changes.drop(from).associateBy { it.id }.values
-                val removed = latest.filter { it.written == null }.map { it.id }
-                apply(RegistryUpdate.Changes(latest.mapNotNull { it.written }, removed))
+                val news = latest.map { it.written?.let(RegistryChange::Written) ?: RegistryChange.Removed(it.id) }
+                apply(RegistryUpdate.Changes(news))
             }
         }
 
@@ -97,8 +98,8 @@
                     is RegistryUpdate.Listing -> changed(before, at).registryRead(clockMs)
                     is RegistryUpdate.Changes -> {
                         val changed = changed(before + update.written, at)
-                        val isMissed = update.removedIds.any { id -> before.none { it.id == id } }
-                        if (isMissed) changed.upstreamsMissed(clockMs) else changed
+                        val knownIds = before.map { it.id }.toSet()
+                        if (update.removesUnseen(knownIds)) changed.upstreamsMissed(clockMs) else changed
                     }
                 }
             if (update !is RegistryUpdate.Unreachable) position = changes.size
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RegistryReading.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RegistryReading.kt
@@ -7,10 +7,8 @@
  *
  * @property begunAtMs when it began.
  * @property position what it shows the registry as of, or null if the store's era was not known when it began.
- * @property unreadableIds upstreams whose registrations can't be decoded.
  */
 internal data class RegistryReading(
     val begunAtMs: Long,
     val position: RegistryPosition? = null,
-    val unreadableIds: Set<String> = emptySet(),
 )
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/StreamOrigins.kt
@@ -68,8 +68,8 @@
         nowMs: Long,
     ): StreamVersions {
         val changed = changed(registry.all() + update.written, after, reading, nowMs)
-        val removed = update.removedIds - reading.unreadableIds
-        return if (removed.all { registry.find(it) != null }) changed else changed.upstreamsMissed(nowMs)
+        val knownIds = registry.all().map { it.id }.toSet()
+        return if (update.removesUnseen(knownIds)) changed.upstreamsMissed(nowMs) else changed
     }
 
     private fun changed(before: List<Upstream>, after: UpstreamRegistry, reading: RegistryReading, nowMs: Long) =
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/Feeds.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.medlarhook.core.serving.fleet.RegistryChange
 import org.medlarhook.core.serving.fleet.RegistryPosition
 import org.medlarhook.core.serving.fleet.RegistryUpdate
 import org.medlarhook.ports.TimeSource
@@ -111,10 +112,9 @@
             problems.observe(read).forEach {
                 logger.warnEvent(LogEvent.REGISTRATION_UNREADABLE, "id" to it.id, "cause" to it.cause)
             }
-            val unreadableIds = read.unreadable.map { it.id }.toSet()
-            logUpdate(read.update, unreadableIds)
+            logUpdate(read.update)
             val position = registryFeed.eraBeforeRead?.let { RegistryPosition(it, read.position) }
-            val reading = RegistryReading(begunAtMs, position, unreadableIds)
+            val reading = RegistryReading(begunAtMs, position)
             onLoop { serving.updateRegistry(read.update, reading) }
         }
 
@@ -125,7 +125,7 @@
         /** A drill is an outage that ends with the next read: live upstreams whose rows are gone register again. */
         override fun storeRestored() = unreachable()
 
-        private fun logUpdate(update: RegistryUpdate, unreadableIds: Set<String>) {
+        private fun logUpdate(update: RegistryUpdate) {
             when (update) {
                 is RegistryUpdate.Listing ->
                     logger.event(
@@ -135,20 +135,21 @@
                                 "${it.id}@${it.address} ${it.service} ${it.stage} ${it.softwareVersion}"
                             },
                     )
-                is RegistryUpdate.Changes -> {
-                    val removedIds = update.removedIds - unreadableIds
-                    if (update.written.isNotEmpty() || removedIds.isNotEmpty()) {
-                        logger.event(
-                            LogEvent.REGISTRY_CHANGED,
-                            "written" to update.written.map {
-                                "${it.id}@${it.address} ${it.softwareVersion} draining=${it.isDraining}"
-                            },
-                            "removed" to removedIds,
-                        )
-                    }
-                }
+                is RegistryUpdate.Changes -> logChanges(update.latest)
                 is RegistryUpdate.Unreachable -> Unit
             }
         }
+
+        /** Names each upstream once, by its last change. */
+        private fun logChanges(latest: Collection<RegistryChange>) {
+            val written = latest.filterIsInstance<RegistryChange.Written>().map { it.upstream }
+            val removedIds = latest.filterIsInstance<RegistryChange.Removed>().map { it.id }
+            if (written.isEmpty() && removedIds.isEmpty()) return
+            logger.event(
+                LogEvent.REGISTRY_CHANGED,
+                "written" to written.map { "${it.id}@${it.address} ${it.softwareVersion} draining=${it.isDraining}" },
+                "removed" to removedIds,
+            )
+        }
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/RegistrationProblems.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/RegistrationProblems.kt
@@ -12,7 +12,7 @@
         when (val update = read.update) {
             is RegistryUpdate.Listing -> causeById.keys.retainAll(unreadableIds)
             is RegistryUpdate.Changes ->
-                causeById.keys.removeAll((update.written.map { it.id } + update.removedIds).toSet() - unreadableIds)
+                causeById.keys.removeAll(update.changes.map { it.id }.toSet() - unreadableIds)
             is RegistryUpdate.Unreachable -> Unit
         }
         return read.unreadable.filter { causeById.put(it.id, it.cause) != it.cause }.also { dropOldest() }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/StoreRegistryCheck.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/StoreRegistryCheck.kt
@@ -31,7 +31,6 @@
         val read = (store.awaitUpstreams(from.version, 0) as? Either.Right)?.value ?: return null
         val changes = read.update as? RegistryUpdate.Changes ?: return null
         if (era.current != from.era || read.position < from.version) return null
-        val hasChanged = changes.written.isNotEmpty() || changes.removedIds.isNotEmpty()
-        return CheckedRegistry(begunAtMs, RegistryPosition(from.era, read.position), hasChanged)
+        return CheckedRegistry(begunAtMs, RegistryPosition(from.era, read.position), changes.changes.isNotEmpty())
     }
 }
