Use the grace period of the last reload in a graceful stop

Cause: ServingProcess.reload handed new bounds to the event loop only; stop read those of the start, and planned beyond the moment of SIGKILL.

Change: a stop uses the bounds in force, its listener stays open no longer than the stop may take, and a reload that changes what the usage reporter reads at its start says that a restart is needed.

This works because one value decides when requests are refused, when the listener closes and when callers get their last answer.

--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -80,6 +80,10 @@
     @Volatile
     private var isReady = false
 
+    /** The bounds in force, of the start or of the last reload. */
+    @Volatile
+    private var bounds = settings.bounds
+
     /** Starts the process and blocks until it has stopped after a shutdown signal. */
     public fun run() {
         Runtime.getRuntime().addShutdownHook(Thread({ stop() }, "shutdown"))
@@ -148,16 +152,28 @@
         if (callerConnections.isStopping) callerConnections.closeIdle()
     }
 
-    /** Puts the bounds of changed settings in force; changed addresses apply from the next start. */
+    /**
+     * Puts the bounds of changed settings in force. Changed addresses, and bounds of the usage reports and their lease,
+     * apply from the next start.
+     */
     public fun reload(newer: ServingSettings) {
+        bounds = newer.bounds
         serving.loop.execute { serving.updateBounds(newer.bounds) }
         logger.event(
             LogEvent.SETTINGS_RELOADED,
             "bounds" to newer.bounds.toString(),
-            "restartNeeded" to (newer.callers != settings.callers || newer.status != settings.status),
+            "restartNeeded" to needsRestart(newer),
         )
     }
 
+    private fun needsRestart(newer: ServingSettings): Boolean =
+        newer.callers != settings.callers ||
+            newer.status != settings.status ||
+            newer.bounds.usage != settings.bounds.usage
+
+    /** The bounds that the usage reporter reads at its start only. */
+    private val ServingBounds.usage: List<Long> get() = listOf(usageWindowMs, usageLateMs, leaseMs)
+
     /**
      * Stops gracefully: reports that it is not ready, serves new requests until the balancer has noticed, then closes
      * the listener and ends when no request runs. If too few processes are left, the balancer sends callers here until
@@ -166,18 +182,19 @@
      */
     public fun stop() {
         val startedAtMs = time.monotonicMs()
-        val endAtMs = startedAtMs + settings.bounds.shutdownMs
-        val listenerCloseAtMs = startedAtMs + BALANCER_REMOVAL_MS
+        val shutdownMs = bounds.shutdownMs
+        val endAtMs = startedAtMs + shutdownMs
+        val listenerOpenMs = minOf(BALANCER_REMOVAL_MS, shutdownMs)
         logger.event(
             LogEvent.DRAIN_STARTED,
             "inFlight" to serving.requestsInFlight,
-            "listenerClosesInMs" to BALANCER_REMOVAL_MS,
-            "endsInMs" to settings.bounds.shutdownMs,
+            "listenerClosesInMs" to listenerOpenMs,
+            "endsInMs" to shutdownMs,
         )
         isReady = false
         serving.loop.execute { serving.beginShutdown(ShutdownWindow(startedAtMs, endAtMs)) }
         thread(name = "hand-back", isDaemon = true) { usageReporter.releaseLease() }
-        Thread.sleep((listenerCloseAtMs - time.monotonicMs()).coerceAtLeast(0))
+        Thread.sleep((startedAtMs + listenerOpenMs - time.monotonicMs()).coerceAtLeast(0))
         callers.close()
         while (time.monotonicMs() < endAtMs && hasOpenWork()) Thread.sleep(POLL_MS)
         val inFlightAtEnd = serving.requestsInFlight
