Limit the memory of events that have not ended, over all streams

Evidence: EndlessEventsTest, a process with the deploy file's heap of 200 MB and 300 streams whose event does not end.

This works because all memory that an upstream's unfinished bytes can take is in one account that is a fixed part of the heap.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventSplitter.kt
@@ -1,15 +1,17 @@
 package org.medlarhook.serving.call
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 
 /**
  * Splits a stream into complete events, so that a caller never receives a part of an event whose rest may be lost.
  *
  * A line ends with a line feed, a carriage return, or both; an empty line ends an event.
  */
-internal class EventSplitter {
-    private val pending: ByteBuf = Unpooled.buffer(INITIAL_BYTES)
+internal class EventSplitter(
+    buffers: AnswerBuffers,
+) {
+    private val buffer = buffers.open(MAX_EVENT_BYTES)
+    private val pending: ByteBuf get() = buffer.bytes
 
     /** Offset in [pending] of the first byte that has not been read. */
     private var position = 0
@@ -23,12 +25,13 @@
     var isInsideEvent = false
         private set
 
-    /** Bytes of an event whose end has not arrived. */
-    val pendingBytes: Int get() = pending.readableBytes()
+    private val pendingBytes: Int get() = pending.readableBytes()
 
-    /** Appends [bytes] and returns all complete events, or null if there is none. */
-    fun append(bytes: ByteBuf): EventBatch? {
-        pending.writeBytes(bytes)
+    /** Appends [bytes]; returns false, and does not append them, if the event that has begun would be too large. */
+    fun append(bytes: ByteBuf): Boolean = buffer.append(bytes)
+
+    /** Returns all complete events, or null if there is none. */
+    fun takeEvents(): EventBatch? {
         var end = 0
         while (position < pendingBytes) {
             val endsEvent = read(pending.getByte(pending.readerIndex() + position))
@@ -38,6 +41,7 @@
         if (end == 0) return null
         val events = pending.readBytes(end)
         pending.discardReadBytes()
+        buffer.shrink()
         position -= end
         lineStart -= end
         return EventBatch(events, idsIn(events))
@@ -49,6 +53,7 @@
     /** Discards a partial event before the stream is resumed at another upstream. */
     fun discardPending() {
         pending.clear()
+        buffer.shrink()
         position = 0
         lineStart = 0
         isAfterCarriageReturn = false
@@ -57,7 +62,7 @@
     }
 
     fun release() {
-        pending.release()
+        buffer.release()
     }
 
     /** Reads [byte] at [position]; returns true if an event ends with it. */
@@ -91,7 +96,8 @@
     }
 
     private companion object {
-        const val INITIAL_BYTES = 1_024
+        /** Far more than an event of some tokens has. */
+        const val MAX_EVENT_BYTES = 1_048_576L
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val COMMENT_PREFIX = ":"
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -53,7 +53,7 @@
         status = head.status
         headers = format.callerHeaders(response)
         if (head.isStream) {
-            splitter = splitter ?: EventSplitter()
+            splitter = splitter ?: EventSplitter(buffers)
         } else {
             fullBody = buffers.open()
         }
@@ -65,9 +65,8 @@
      */
     fun body(bytes: ByteBuf): Boolean {
         val events = splitter ?: return fullBody?.append(bytes) ?: true
-        val batch = events.append(bytes)
-        if (batch != null && !deliver(batch)) return false
-        return events.pendingBytes <= MAX_EVENT_BYTES
+        if (!events.append(bytes)) return false
+        return events.takeEvents()?.let { deliver(it) } ?: true
     }
 
     /** Completes the answer to the caller. */
@@ -112,9 +111,4 @@
         hasBegun = true
         caller.beginStream(status, headers!!)
     }
-
-    private companion object {
-        /** Far more than an event of some tokens has. */
-        const val MAX_EVENT_BYTES = 1_048_576
-    }
 }
