Log on which connection an answer came, and the answers that reach no request

A request's line has the field answers: each attempt that was sent as connection.request, with status and framing of the head that came back, and /no_id if it returned none. 629 and 630 name the connection, the request on it, the id that was due and the one that came; ten lines in ten seconds of each, all are counted in medlarhook.upstreams.answers.dropped. The throttle is that of unreadable datagrams, now a class.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -6,6 +6,7 @@
 import org.medlarhook.serving.upstream.AttemptHandle
 import org.medlarhook.serving.upstream.AttemptListener
 import org.medlarhook.serving.upstream.BodyFraming
+import org.medlarhook.serving.upstream.ConnectionPosition
 
 /** One attempt of an exchange at an upstream: evaluates the answer's head and passes the body to the [Relay]. */
 internal class Attempt(
@@ -20,14 +21,15 @@
     private var framing = BodyFraming.LENGTH
     private var bodyReads = 0
 
-    override fun onSent() {
-        exchange.attemptSent()
+    override fun onSent(position: ConnectionPosition) {
+        exchange.attemptSent(position)
     }
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
         this.framing = framing
         tracker.headReceived(head)
+        exchange.headReceived(head, framing)
         when {
             head.isNotRun || head.isMisdirected -> {
                 discardRest()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -10,6 +10,8 @@
 import org.medlarhook.serving.crash.CrashSubject
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
+import org.medlarhook.serving.upstream.BodyFraming
+import org.medlarhook.serving.upstream.ConnectionPosition
 import org.medlarhook.serving.upstream.RequestPermits
 import java.util.concurrent.Future
 
@@ -167,10 +169,11 @@
         handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, permits, attempt)
     }
 
-    /** Records that the prefill was sent. */
-    fun prefillSent() {
-        record.arrivals++
-    }
+    /** Records that the prefill was sent at [position]. */
+    fun prefillSent(position: ConnectionPosition) = record.arrived(position)
+
+    /** Records the head of an answer, whatever is concluded from it. */
+    fun headReceived(head: UpstreamHead, framing: BodyFraming) = record.answered(head, framing)
 
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
     fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
@@ -230,9 +233,9 @@
         return Relay(serving.format, caller, serving.answerBuffers)
     }
 
-    /** Records that the request was sent, so that the upstream may run it from now on. */
-    fun attemptSent() {
-        record.arrivals++
+    /** Records that the request was sent at [position], so that the upstream may run it from now on. */
+    fun attemptSent(position: ConnectionPosition) {
+        record.arrived(position)
         mayHaveRun = true
         possibleRuns++
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -3,6 +3,8 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
+import org.medlarhook.serving.upstream.BodyFraming
+import org.medlarhook.serving.upstream.ConnectionPosition
 
 /**
  * Collects the fields of a request's log line.
@@ -26,6 +28,7 @@
 
     /** Times that the request was sent to an upstream on an open connection, prefills included. */
     var arrivals = 0
+        private set
 
     /** Retries that were withdrawn from the budget. */
     var retries = 0
@@ -36,6 +39,7 @@
     /** True if the budget had no retry left for the request. */
     var isRetryRefused = false
     private val attempts = ArrayList<String>()
+    private val answers = ArrayList<String>()
     private var sentAtMs = 0L
 
     /**
@@ -44,6 +48,12 @@
      */
     val attemptsText: String get() = attempts.joinToString(" ")
 
+    /**
+     * Each attempt that was sent as `connection.request`, with `=status/framing` if the head of an answer came back, and
+     * `/no_id` if that returned no id; null if none was sent.
+     */
+    val answersText: String? get() = answers.joinToString(" ").ifEmpty { null }
+
     /** The time from the request's arrival to its last attempt. */
     val waitedMs: Long get() = if (attempts.isEmpty()) 0 else sentAtMs - arrivedAtMs
 
@@ -67,6 +77,18 @@
         if (attempts.isNotEmpty()) attempts[attempts.size - 1] += "!$reason"
     }
 
+    /** Records that an attempt was sent at [position]. */
+    fun arrived(position: ConnectionPosition) {
+        arrivals++
+        answers += "$position"
+    }
+
+    /** Records the head of the answer to the attempt that was sent last. */
+    fun answered(head: UpstreamHead, framing: BodyFraming) {
+        val missingId = if (head.attemptId == null) "/no_id" else ""
+        answers[answers.size - 1] += "=${head.status}/${framing.name.lowercase()}$missingId"
+    }
+
     private fun textOf(upstream: Upstream): String = "${upstream.id}@${upstream.softwareVersion ?: "?"}"
 
     private fun sourceText(chosen: Placement.Chosen): String = chosen.prefix?.source?.let { "<${it.id}" }.orEmpty()
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -8,6 +8,7 @@
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptListener
 import org.medlarhook.serving.upstream.BodyFraming
+import org.medlarhook.serving.upstream.ConnectionPosition
 
 /** Runs the prefill of a request at an engine that keeps the resulting cache for another engine. */
 internal class PrefillAttempt(
@@ -21,13 +22,14 @@
     private val body = Unpooled.buffer()
     private var head: UpstreamHead? = null
 
-    override fun onSent() {
-        exchange.prefillSent()
+    override fun onSent(position: ConnectionPosition) {
+        exchange.prefillSent(position)
     }
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
         tracker.headReceived(head)
+        exchange.headReceived(head, framing)
     }
 
     override fun onBody(bytes: ByteBuf) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -10,6 +10,7 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.crash.CrashLog
+import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -29,6 +30,9 @@
     /** Logs what is concluded about requests and prompt parts under which upstreams crash. */
     val crashes = CrashLog(registry, isQuiet)
 
+    /** Logs the answers of upstreams that reach no request. */
+    val answers = AnswerLog(registry, isQuiet)
+
     fun finished(
         record: ExchangeRecord,
         outcome: Outcome,
@@ -53,6 +57,7 @@
                 "config" to configVersion,
                 "configAgeMs" to confirmedAtMs?.let { nowMs - it },
                 "attempts" to record.attemptsText,
+                "answers" to record.answersText,
                 "fingerprint" to record.fingerprint,
                 "arrivals" to record.arrivals,
                 "retries" to record.retries.takeIf { it > 0 },
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -58,7 +58,7 @@
 
     /** What upstreams have said about the work that they want. */
     val availability = UpstreamAvailability(time, random, log)
-    val pool = UpstreamPool(loop, format, time, availability)
+    val pool = UpstreamPool(loop, format, time, availability, log.answers)
     val origins =
         StreamOrigins(time, { observeClocks() }) { delayMs, task ->
             loop.schedule(task, delayMs, TimeUnit.MILLISECONDS)
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -22,6 +22,7 @@
 import org.medlarhook.serving.crash.SoundSuspect
 import org.medlarhook.serving.crash.UpstreamCrash
 import org.medlarhook.serving.crash.UpstreamCrashes
+import org.medlarhook.serving.process.LogThrottle
 import java.net.InetSocketAddress
 import java.util.concurrent.Future
 import java.util.concurrent.TimeUnit
@@ -53,8 +54,7 @@
     private val untold = ArrayList<BegunStream>()
     private val openQuestions = HashMap<Long, OpenQuestion>()
     private var nextQuestion = Random.nextLong()
-    private var unreadableSinceMs: Long? = null
-    private var unreadableLogged = 0
+    private val unreadableLines = LogThrottle()
 
     private class OpenQuestion(
         var awaited: Int,
@@ -206,13 +206,7 @@
         }
 
         private fun logUnreadable(sender: InetSocketAddress, failure: Throwable) {
-            val nowMs = time.monotonicMs()
-            val sinceMs = unreadableSinceMs
-            if (sinceMs == null || nowMs - sinceMs >= LOG_INTERVAL_MS) {
-                unreadableSinceMs = nowMs
-                unreadableLogged = 0
-            }
-            if (++unreadableLogged > LOGGED_IN_INTERVAL) return
+            if (!unreadableLines.permits(time.monotonicMs())) return
             val cause = "$failure".take(MAX_CAUSE_CHARS)
             logger.warnEvent(LogEvent.PEER_MESSAGE_UNREADABLE, "from" to "$sender", "cause" to cause)
         }
@@ -239,9 +233,6 @@
         /** Processes to which evidence of crashes is repeated each time. */
         const val REPEATS = 3
 
-        /** In this time at most [LOGGED_IN_INTERVAL] unreadable messages are logged. */
-        const val LOG_INTERVAL_MS = 10_000L
-        const val LOGGED_IN_INTERVAL = 10
         const val MAX_CAUSE_CHARS = 300
 
         /** A round trip between regions and a pause of a busy process; the caller waits meanwhile. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -9,8 +9,8 @@
     /** False if nothing depends on the answer, so that it may be mistaken for that to another request. */
     val usesAnswer: Boolean get() = true
 
-    /** The request is being written; from now on the upstream may run it. */
-    fun onSent()
+    /** The request is being written at [position]; from now on the upstream may run it. */
+    fun onSent(position: ConnectionPosition)
 
     /** The head of the final answer has arrived. */
     fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming)
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.medlarhook.core.serving.answer.ConnectionHistory
+import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.UpstreamHead
@@ -25,12 +26,16 @@
  * and the attempt keeps waiting for its own. A head that arrives while no attempt waits closes the connection, as does
  * an upstream that sends too much that is discarded.
  *
+ * @param number number of the connection in this process, for logs.
  * @param onHead called with each head, including those of extra answers, before the attempt that it belongs to; and
  * with the time when the request that it answers was sent, or null for an extra answer.
  */
 internal class UpstreamConnection(
+    private val upstream: Upstream,
+    private val number: Long,
     private val format: CallFormat,
     private val time: TimeSource,
+    private val log: AnswerLog,
     private val onIdle: (UpstreamConnection) -> Unit,
     private val onClosed: (UpstreamConnection) -> Unit,
     private val onHead: (UpstreamHead, Long?) -> Unit,
@@ -39,6 +44,8 @@
     private var listener: AttemptListener? = null
     private var history = ConnectionHistory()
     private var sentAtMs = 0L
+    private var expectedId: String? = null
+    private var requests = 0
     private var isSkipping = false
 
     /** True while the rest of an answer is read after its attempt has ended. */
@@ -59,6 +66,8 @@
     var idleTimeoutMs: Long = DEFAULT_IDLE_TIMEOUT_MS
         private set
 
+    private val position: ConnectionPosition get() = ConnectionPosition(number, requests)
+
     val isOpen: Boolean get() = context.channel().isActive
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
@@ -73,10 +82,12 @@
         listener = attempt
         history = history.sent(id)
         sentAtMs = time.monotonicMs()
+        expectedId = id
+        requests++
         isSkipping = false
         discardedBytes = 0
         skippedHeads = 0
-        attempt.onSent()
+        attempt.onSent(position)
         context.writeAndFlush(request).addListener { if (!it.isSuccess) isBroken = true }
     }
 
@@ -107,7 +118,9 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
-            if (message is HttpObject && message.decoderResult().isFailure) return failUnreadable()
+            if (message is HttpObject && message.decoderResult().isFailure) {
+                return failUnreadable("${message.decoderResult().cause()}")
+            }
             if (message is HttpResponse) onResponse(message)
             if (message is HttpContent) onContent(message)
         } finally {
@@ -119,10 +132,19 @@
         val head = format.readHead(response)
         val isExtra = !history.isAnswerToLatest(head.attemptId)
         onHead(head, sentAtMs.takeIf { listener != null && !isExtra })
-        val current = listener ?: return close()
+        val current = listener
+        if (current == null) {
+            if (!isDiscarding) logDiscarded(head, DiscardReason.NO_REQUEST)
+            return close()
+        }
         isSkipping = isExtra || head.status < FIRST_FINAL_STATUS
+        if (isExtra) logDiscarded(head, DiscardReason.OTHER_ID)
         if (isSkipping) {
-            if (++skippedHeads > MAX_SKIPPED_HEADS) failUnreadable()
+            if (++skippedHeads >
+                MAX_SKIPPED_HEADS
+            ) {
+                failUnreadable("more than $MAX_SKIPPED_HEADS heads before the answer")
+            }
             return
         }
         history = history.answered(head.attemptId)
@@ -140,7 +162,11 @@
 
     private fun discard(content: HttpContent) {
         discardedBytes += content.content().readableBytes()
-        if (discardedBytes > MAX_DISCARDED_BYTES) return failUnreadable()
+        if (discardedBytes >
+            MAX_DISCARDED_BYTES
+        ) {
+            return failUnreadable("more than $MAX_DISCARDED_BYTES bytes discarded")
+        }
         if (content !is LastHttpContent || !isDiscarding) return
         isDiscarding = false
         discardTimeout?.cancel(false)
@@ -175,7 +201,11 @@
             else -> BodyFraming.CONNECTION_CLOSE
         }
 
-    private fun failUnreadable() {
+    private fun logDiscarded(head: UpstreamHead, reason: DiscardReason) =
+        log.discarded(upstream, position, head, expectedId, reason, time.monotonicMs())
+
+    private fun failUnreadable(cause: String) {
+        log.unreadable(upstream, position, expectedId, cause, time.monotonicMs())
         fail(AttemptFailure.UNREADABLE_ANSWER)
         context.close()
     }
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -27,9 +27,11 @@
     private val format: CallFormat,
     private val time: TimeSource,
     private val availability: UpstreamAvailability,
+    private val answers: AnswerLog,
 ) {
     private val idle = HashMap<Incarnation, ArrayDeque<UpstreamConnection>>()
     private var open = 0
+    private var opened = 0L
 
     /** The number of connections that are open or being opened, for metrics. */
     val openConnections: Int get() = open
@@ -118,8 +120,11 @@
     ) {
         val connection =
             UpstreamConnection(
+                upstream,
+                ++opened,
                 format,
                 time,
+                answers,
                 onIdle = { release(upstream.incarnation, it) },
                 onClosed = { closed(upstream.incarnation, it) },
                 onHead = { head, sentAtMs -> availability.answered(upstream, head, sentAtMs) },
