Trust no head into which a second answer was written

Callers got a success where the upstream had answered with an error, another request's answer under a status line of their own, and answers with two ids and two stamps.

Cause: an upstream that stops inside a head and answers once more on the connection, or writes a part of a late copy before the next answer, has its second status line read as the rest of the first reason phrase or of a header's value. The id and stamp were read as the first of two values, and the caller got the last of each. Class: a message accepted for what one part of it says, and passed on by another.

A head is now that of one answer only if its version is HTTP/1.0 or 1.1, no status line stands in its reason phrase or in a value, and id, stamp, framing, media type, encoding and Retry-After come at most once. A status line is the first thing that an answer writes, so that it must stand somewhere in a head that two have written; in a header's name the decoder refuses it. Any other head fails the attempt and closes the connection, also one that no request waits for.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/CallFormat.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/CallFormat.kt
@@ -9,6 +9,9 @@
 
 /** Converts between HTTP messages in the platform's format and the types of this module. */
 public interface CallFormat {
+    /** Names of the headers that an upstream's answer has at most once. */
+    public val singleAnswerHeaders: List<String>
+
     /** Parses a caller's [request], or returns null if it is malformed. */
     public fun readCall(request: HttpRequest, body: ByteBuf): CallerCall?
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -42,6 +42,7 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var listener: AttemptListener? = null
+    private val headCheck = AnswerHeadCheck(format.singleAnswerHeaders)
     private var history = ConnectionHistory()
     private var sentAtMs = 0L
     private var expectedId: String? = null
@@ -129,6 +130,7 @@
     }
 
     private fun onResponse(response: HttpResponse) {
+        headCheck.faultOf(response)?.let { return failUnreadable(it) }
         val head = format.readHead(response)
         val isExtra = !history.isAnswerToLatest(head.attemptId)
         onHead(head, sentAtMs.takeIf { listener != null && !isExtra })
