Pass on each value of a header that an answer has more than once

Callers got the last value only: of two Set-Cookie lines one was lost. The headers were copied name by name with setAll, which replaces; the check of an answer reads the first value, so that what was checked was not what went out. They are copied as they came now.

--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -174,7 +174,7 @@
 
     override fun answer(status: Int, headers: HttpHeaders, body: ByteBuf) {
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body)
-        response.headers().setAll(headers)
+        response.headers().set(headers)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
         write(response, isLast = true)
     }
@@ -185,7 +185,7 @@
      */
     override fun beginStream(status: Int, headers: HttpHeaders) {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
-        response.headers().setAll(headers)
+        response.headers().set(headers)
         if (isChunkless) isKeepAlive = false else HttpUtil.setTransferEncodingChunked(response, true)
         write(response, isLast = false)
     }
