Read the answer to a HEAD request as one without a body, and no other

An extra answer before the answer to a HEAD request made the HEAD call fail (502): the client codec of the HTTP library keeps the methods of requests in a queue, takes the extra answer for the bodiless one and reads its body as the next head. A HEAD call whose answer has the media type of a stream got the last chunk of an empty body, which its caller reads as the beginning of the next answer.

The decoder asks now whether the answer is that to the latest request, which is known from its id, and an answer to a HEAD request is no stream.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
@@ -42,11 +43,14 @@
 ) : ChannelInboundHandlerAdapter() {
     private lateinit var context: ChannelHandlerContext
     private var listener: AttemptListener? = null
+    /** Decodes what the upstream sends; the first handler of the connection. */
+    val decoder = AnswerDecoder(::isBodiless)
     private val headCheck = AnswerHeadCheck(format.singleAnswerHeaders)
     private var history = ConnectionHistory()
     private var sentAtMs = 0L
     private var expectedId: String? = null
     private var requests = 0
+    private var expectsHeadOnly = false
     private var isSkipping = false
 
     /** True while the rest of an answer is read after its attempt has ended. */
@@ -84,6 +88,7 @@
         history = history.sent(id)
         sentAtMs = time.monotonicMs()
         expectedId = id
+        expectsHeadOnly = request.method() == HttpMethod.HEAD
         requests++
         isSkipping = false
         discardedBytes = 0
@@ -131,7 +136,7 @@
 
     private fun onResponse(response: HttpResponse) {
         headCheck.faultOf(response)?.let { return failUnreadable(it) }
-        val head = format.readHead(response)
+        val head = readHead(response)
         val isExtra = !history.isAnswerToLatest(head.attemptId)
         onHead(head, sentAtMs.takeIf { listener != null && !isExtra })
         val current = listener
@@ -155,6 +160,15 @@
         current.onHead(head, response, framing)
     }
 
+    /** An answer that consists of a head only is no stream, whatever its media type. */
+    private fun readHead(response: HttpResponse): UpstreamHead {
+        val head = format.readHead(response)
+        return if (expectsHeadOnly) head.copy(isStream = false) else head
+    }
+
+    private fun isBodiless(response: HttpResponse): Boolean =
+        expectsHeadOnly && history.isAnswerToLatest(format.readHead(response).attemptId)
+
     private fun onContent(content: HttpContent) {
         if (isSkipping || isDiscarding) return discard(content)
         val current = listener ?: return
@@ -194,7 +208,7 @@
         when {
             HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKED
             response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) -> BodyFraming.LENGTH
-            response.status().code() in BODILESS_STATUSES -> BodyFraming.LENGTH
+            expectsHeadOnly || response.status().code() in BODILESS_STATUSES -> BodyFraming.LENGTH
             response.headers().contains(
                 HttpHeaderNames.CONNECTION,
                 HttpHeaderValues.UPGRADE,
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -8,8 +8,7 @@
 import io.netty.channel.socket.nio.NioChannelOption
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
-import io.netty.handler.codec.http.HttpClientCodec
-import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
 import org.medlarhook.core.serving.fleet.Endpoint
 import org.medlarhook.core.serving.fleet.Incarnation
@@ -168,7 +167,7 @@
             .handler(
                 object : ChannelInitializer<Channel>() {
                     override fun initChannel(channel: Channel) {
-                        channel.pipeline().addLast(HttpClientCodec(DECODER, false, false), connection)
+                        channel.pipeline().addLast(connection.decoder, HttpRequestEncoder(), connection)
                     }
                 },
             ).connect(address.host, address.port)
@@ -185,8 +184,6 @@
     }
 
     private companion object {
-        val DECODER: HttpDecoderConfig = HttpDecoderConfig().setMaxHeaderSize(32 * 1024)
-
         /** Ten round trips between regions; a host that is up accepts well before. */
         const val CONNECT_TIMEOUT_MS = 400
 
