Send no request on a connection on which bytes wait to be read

A part of an answer that an upstream wrote once more, or behind its answer, stayed in the decoder of an idle connection, and the next request's answer was read as its continuation: that call failed (502), or, before the check of heads, got the status of the earlier answer. Only a whole head closed an idle connection.

Bytes that arrive while no answer is due are not decoded and close the connection, and a connection with bytes behind its answer is not used again. UnrequestedBytesTest, both cases failed before.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerDecoder.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerDecoder.kt
@@ -1,18 +1,38 @@
 package org.medlarhook.serving.upstream
 
+import io.netty.buffer.ByteBuf
+import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import io.netty.util.ReferenceCountUtil
 
 /**
  * Decodes the answers on a connection to an upstream.
  *
+ * Bytes that arrive while no answer is due are not decoded: what they begin would be read as the beginning of the next
+ * answer.
+ *
+ * @param isAnswerDue true while the bytes that arrive can be those of an answer.
  * @param isBodiless true if a response is the answer to a request whose answers have no body, as with HEAD.
+ * @param onUnrequested called with the number of bytes that arrived while no answer was due.
  */
 internal class AnswerDecoder(
+    private val isAnswerDue: () -> Boolean,
     private val isBodiless: (HttpResponse) -> Boolean,
+    private val onUnrequested: (Int) -> Unit,
 ) : HttpResponseDecoder(CONFIG) {
+    /** True if bytes have arrived that belong to no answer which has been decoded. */
+    val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
+
+    override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
+        if (isAnswerDue() || message !is ByteBuf) return super.channelRead(ctx, message)
+        val bytes = message.readableBytes()
+        ReferenceCountUtil.release(message)
+        onUnrequested(bytes)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || (message is HttpResponse && isBodiless(message))
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -24,7 +24,7 @@
  * One connection to an upstream, used by one attempt at a time.
  *
  * An answer that is not that to the latest request, as told by [ConnectionHistory], is an extra one: it is discarded,
- * and the attempt keeps waiting for its own. A head that arrives while no attempt waits closes the connection, as does
+ * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection, as does
  * an upstream that sends too much that is discarded.
  *
  * @param number number of the connection in this process, for logs.
@@ -44,7 +44,7 @@
     private lateinit var context: ChannelHandlerContext
     private var listener: AttemptListener? = null
     /** Decodes what the upstream sends; the first handler of the connection. */
-    val decoder = AnswerDecoder(::isBodiless)
+    val decoder = AnswerDecoder({ listener != null || isDiscarding }, ::isBodiless, ::dropUnrequested)
     private val headCheck = AnswerHeadCheck(format.singleAnswerHeaders)
     private var history = ConnectionHistory()
     private var sentAtMs = 0L
@@ -196,7 +196,15 @@
     }
 
     private fun reuseOrClose() {
-        if (closesAfterAnswer || framing == BodyFraming.CONNECTION_CLOSE) context.close() else onIdle(this)
+        val isReusable =
+            !closesAfterAnswer && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
+        if (isReusable) onIdle(this) else context.close()
+    }
+
+    private fun dropUnrequested(bytes: Int) {
+        if (!isOpen) return
+        log.unreadable(upstream, position, null, "$bytes bytes while no request waits", time.monotonicMs())
+        context.close()
     }
 
     private fun readKeepAlive(head: UpstreamHead, response: HttpResponse) {
