Pass over no error without an id for a success that follows it

A caller got a 200 where the upstream had answered 504: on a connection that had carried a request before, an answer without an id was taken for an earlier one written once more, and the attempt waited for the next one. It may as well be the answer that is due, and what follows it a second one; the two can't be told apart by the id.

An answer without an id is passed over only if its stamp, which no other run has, shows that it is an earlier one of the connection. Any other ends the attempt, and the connection. AnswerWithoutIdTest got the 200 before; RepeatedAnswerTest, where earlier answers without an id are passed over, holds as it was.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/answer/ConnectionHistory.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/answer/ConnectionHistory.kt
@@ -6,13 +6,15 @@
  * Designed for faulty upstreams that write an earlier answer once more at the point where the next one is due. Only the
  * attempt id tells the two apart. Requests with the same id, or without one, therefore don't follow each other on one
  * connection, and an answer without an id is taken only as the first on its connection, where no earlier one can come
- * again. An upstream that returns no id shows this with its first answer, after which the connection carries no more.
+ * again. A later one is passed over if its stamp shows that it is an earlier one; any other may be the answer that is due,
+ * and what follows it a second one. An upstream that returns no id shows this with its first answer, after which the connection carries no more.
  */
 public data class ConnectionHistory(
     private val attemptId: String? = null,
     private val recentIdHashes: List<Int> = emptyList(),
     private val requests: Int = 0,
     private val returnsIds: Boolean = true,
+    private val recentStampHashes: List<Int> = emptyList(),
 ) {
     /** True if a request can follow, because its answer can be told from earlier ones. */
     public val canCarryMore: Boolean get() = returnsIds
@@ -36,9 +38,21 @@
     public fun isAnswerToLatest(returnedId: String?): Boolean =
         if (returnedId == null) requests == 1 || attemptId == null else returnedId == attemptId
 
-    /** Records that the latest request was answered with [returnedId]. */
-    public fun answered(returnedId: String?): ConnectionHistory =
-        if (attemptId == null || returnedId != null) this else copy(returnsIds = false)
+    /**
+     * True if an answer is recognised as an earlier one of this connection, or as that to another request, by the id that
+     * it returns or, if it returns none, by its [stamp]. What is neither this nor
+     * [the answer to the latest request][isAnswerToLatest] may be either.
+     */
+    public fun isKnownExtra(returnedId: String?, stamp: String?): Boolean =
+        returnedId != null || (stamp != null && stamp.hashCode() in recentStampHashes)
+
+    /** Records that the latest request was answered with [returnedId] and [stamp]. */
+    public fun answered(returnedId: String?, stamp: String?): ConnectionHistory =
+        copy(
+            returnsIds = returnsIds && (attemptId == null || returnedId != null),
+            recentStampHashes =
+                if (stamp == null) recentStampHashes else recentStampHashes.takeLast(MAX_IDS - 1) + stamp.hashCode(),
+        )
 
     private companion object {
         /** Attempts have ids of their own; a caller that uses one again does so soon. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -11,7 +11,7 @@
  * @property isEncoded true if the body has a content encoding, so that its bytes are not those of the upstream.
  * @property closesConnection true if the upstream closes the connection after the answer.
  * @property idleTimeoutMs how long the upstream keeps the connection open when idle, if the answer says so.
- * @property isStamped true if the answer carries the upstream's stamp.
+ * @property stamp the upstream's stamp on the answer, which no other run has; null if there is none.
  * @property retryAfter how long the upstream wants no requests from this process, if a rejection says so.
  * @property isLeaving true if the upstream says that it leaves and wants no new work.
  * @property limit the limit of its requests that the upstream names, or null if it names none.
@@ -26,11 +26,14 @@
     val isEncoded: Boolean,
     val closesConnection: Boolean,
     val idleTimeoutMs: Long?,
-    val isStamped: Boolean,
+    val stamp: String?,
     val retryAfter: ReportedRetryAfter?,
     val isLeaving: Boolean,
     val limit: ReportedLimit?,
 ) {
+    /** True if the answer carries the upstream's stamp. */
+    val isStamped: Boolean get() = stamp != null
+
     /** True for a success without the upstream's stamp: it comes from a faulty upstream and is not a valid answer. */
     val isUnstampedSuccess: Boolean get() = status < FIRST_REDIRECT && !isStamped
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -145,6 +145,7 @@
             return close()
         }
         isSkipping = isExtra || head.status < FIRST_FINAL_STATUS
+        if (isExtra && isAmbiguous(head)) return failUnreadable("an answer without an id, status ${head.status}")
         if (isExtra) logDiscarded(head, DiscardReason.OTHER_ID)
         if (isSkipping) {
             if (++skippedHeads >
@@ -154,12 +155,16 @@
             }
             return
         }
-        history = history.answered(head.attemptId)
+        history = history.answered(head.attemptId, head.stamp)
         framing = framingOf(response)
         readKeepAlive(head, response)
         current.onHead(head, response, framing)
     }
 
+    /** True if an extra answer with [head] may be the one that is due, so that what follows it may be a second one. */
+    private fun isAmbiguous(head: UpstreamHead): Boolean =
+        head.status >= FIRST_FINAL_STATUS && !history.isKnownExtra(head.attemptId, head.stamp)
+
     /** An answer that consists of a head only is no stream, whatever its media type. */
     private fun readHead(response: HttpResponse): UpstreamHead {
         val head = format.readHead(response)
