Break off a stream whose events begin again

A stream that ends with its connection and was written twice, without a head between, reached its caller as one whole stream with each event twice. Only the events of a resumed stream had to rise; those of each stream must now, as far as they have ids. StreamWrittenTwiceTest, both cases failed before; in the first, the search for heads finds the second one.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/EventBatch.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/EventBatch.kt
@@ -11,9 +11,12 @@
     val bytes: ByteBuf,
     val ids: List<Long?>,
 ) {
-    /** True if these events may follow the event [lastId] of an interrupted stream: each id is above all before it. */
-    fun continues(lastId: Long): Boolean {
-        var previousId = lastId
-        return ids.all { id -> id != null && id > previousId.also { previousId = id } }
+    /** The greatest id, or null if no event has one. */
+    val greatestId: Long? get() = ids.filterNotNull().maxOrNull()
+
+    /** True if each event that has an id has one above [lastId] and all before it. */
+    fun risesAbove(lastId: Long?): Boolean {
+        var previousId = lastId ?: Long.MIN_VALUE
+        return ids.filterNotNull().all { id -> id > previousId.also { previousId = id } }
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Relay.kt
@@ -22,16 +22,17 @@
     private var splitter: EventSplitter? = null
     private var fullBody: AnswerBuffers.AnswerBuffer? = null
 
-    /** The last event that was sent before the current attempt, or null if the attempt began the stream. */
-    private var resumedAfterId: Long? = null
-    private var lastSentId: Long? = null
+    /** True while an attempt continues a stream that another one has begun. */
+    private var isResumed = false
+    private var greatestSentId: Long? = null
 
     /** True once a part of the answer has been sent to the caller. */
     var hasBegun = false
         private set
 
     /** The id of the last event that was sent to the caller, or null if none was or it has none. */
-    val lastEventId: Long? get() = lastSentId
+    var lastEventId: Long? = null
+        private set
 
     /** True if another upstream can continue: nothing was sent to the caller yet, or the last event has an id. */
     val canResume: Boolean get() = !hasBegun || lastEventId != null
@@ -47,7 +48,7 @@
     /** Starts an answer with [head], which is accepted; after an interruption, continues the stream that has begun. */
     fun begin(head: UpstreamHead, response: HttpResponse) {
         if (hasBegun) {
-            resumedAfterId = lastSentId
+            isResumed = true
             return
         }
         status = head.status
@@ -61,7 +62,7 @@
 
     /**
      * Takes a part of the body. Returns false if the answer, or an event of the stream, is too large to be kept, or if
-     * the events do not go on behind the last one that was sent.
+     * the events do not go on behind the last one that was sent, as those of a stream that is written twice.
      */
     fun body(bytes: ByteBuf): Boolean {
         val events = splitter ?: return fullBody?.append(bytes) ?: true
@@ -97,12 +98,13 @@
     }
 
     private fun deliver(batch: EventBatch): Boolean {
-        if (resumedAfterId != null && !batch.continues(lastSentId!!)) {
+        if (!batch.risesAbove(greatestSentId) || (isResumed && null in batch.ids)) {
             batch.bytes.release()
             return false
         }
         if (!hasBegun) beginStream()
-        if (batch.ids.isNotEmpty()) lastSentId = batch.ids.last()
+        if (batch.ids.isNotEmpty()) lastEventId = batch.ids.last()
+        greatestSentId = batch.greatestId ?: greatestSentId
         caller.stream(batch.bytes)
         return true
     }
