--- a/core/src/main/kotlin/org/medlarhook/core/serving/answer/ConnectionHistory.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/answer/ConnectionHistory.kt
@@ -6,8 +6,9 @@
  * Designed for faulty upstreams that write an earlier answer once more at the point where the next one is due. Only the
  * attempt id tells the two apart. Requests with the same id, or without one, therefore don't follow each other on one
  * connection, and an answer without an id is taken only as the first on its connection, where no earlier one can come
- * again. A later one is passed over if its stamp shows that it is an earlier one; any other may be the answer that is due,
- * and what follows it a second one. An upstream that returns no id shows this with its first answer, after which the connection carries no more.
+ * again. A later one is passed over if its stamp shows that it is an earlier one; any other may be the answer that is
+ * due, and what follows it a second one. An upstream that returns no id shows this with its first answer, after which
+ * the connection carries no more.
  */
 public data class ConnectionHistory(
     private val attemptId: String? = null,
@@ -42,8 +43,8 @@
         if (returnedId == null) requests == 1 || attemptId == null else returnedId == attemptId
 
     /**
-     * True if an answer is recognised as an earlier one of this connection, or as that to another request, by the id that
-     * it returns or, if it returns none, by its [stamp]. What is neither this nor
+     * True if an answer is recognised as an earlier one of this connection, or as that to another request, by the id
+     * that it returns or, if it returns none, by its [stamp]. What is neither this nor
      * [the answer to the latest request][isAnswerToLatest] may be either.
      */
     public fun isKnownExtra(returnedId: String?, stamp: String?): Boolean =
--- a/core/src/main/kotlin/org/medlarhook/core/serving/answer/EmbeddedHeadSearch.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/answer/EmbeddedHeadSearch.kt
@@ -1,8 +1,8 @@
 package org.medlarhook.core.serving.answer
 
 /**
- * Searches a body for the head of a further answer, so that an answer which an upstream writes where the rest of another
- * one is due is not taken for that rest.
+ * Searches a body for the head of a further answer, so that an answer which an upstream writes where the rest of
+ * another one is due is not taken for that rest.
  *
  * A head counts only if it returns the id of a request that the connection has carried: text that quotes an answer is a
  * body like any other. A second answer that returns no id is not found.
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -49,8 +49,8 @@
     val attemptsText: String get() = attempts.joinToString(" ")
 
     /**
-     * Each attempt that was sent as `connection.request`, with `=status/framing` if the head of an answer came back, and
-     * `/no_id` if that returned no id; null if none was sent.
+     * Each attempt that was sent as `connection.request`, with `=status/framing` if the head of an answer came back,
+     * and `/no_id` if that returned no id; null if none was sent.
      */
     val answersText: String? get() = answers.joinToString(" ").ifEmpty { null }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerHeadCheck.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerHeadCheck.kt
@@ -2,13 +2,10 @@
 
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpVersion
+import org.medlarhook.core.serving.answer.HeadCheck
 
 /**
- * Recognises heads into which more than one answer was written.
- *
- * If an upstream stops inside a head and answers once more, the decoder takes the second status line for the rest of the
- * first reason phrase or of a header's value, and the headers of both answers for those of one. Nothing in such a head
- * can be trusted.
+ * Recognises heads that are not those of one answer: see [HeadCheck].
  *
  * @param singleHeaders names of the headers that an answer has at most once.
  */
@@ -18,21 +15,9 @@
     /** Says why the head of [response] is not that of one answer, or returns null if it is. */
     fun faultOf(response: HttpResponse): String? {
         val version = response.protocolVersion()
+        if (version != HttpVersion.HTTP_1_1 && version != HttpVersion.HTTP_1_0) return "version $version"
         val headers = response.headers()
-        return when {
-            version != HttpVersion.HTTP_1_1 && version != HttpVersion.HTTP_1_0 -> "version $version"
-            PROTOCOL in response.status().reasonPhrase() -> "a status line in the reason phrase"
-            else ->
-                headers.firstOrNull { (_, value) -> STATUS_LINE.containsMatchIn(value) }
-                    ?.let { (name, _) -> "a status line in the header $name" }
-                    ?: singleHeaders.firstOrNull {
-                        headers.getAll(it).size > 1
-                    }?.let { "the header $it more than once" }
-        }
-    }
-
-    private companion object {
-        const val PROTOCOL = "HTTP/"
-        val STATUS_LINE = Regex("HTTP/[0-9][.][0-9] [0-9]{3}")
+        return HeadCheck.faultOf(response.status().reasonPhrase(), headers.map { (name, value) -> name to value })
+            ?: singleHeaders.firstOrNull { headers.getAll(it).size > 1 }?.let { "the header $it more than once" }
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import org.medlarhook.core.serving.answer.ConnectionHistory
-import org.medlarhook.core.serving.answer.EmbeddedHeadSearch
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.serving.call.CallFormat
@@ -27,7 +26,7 @@
  *
  * An answer that is not that to the latest request, as told by [ConnectionHistory], is an extra one: it is discarded,
  * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection, as does
- * an upstream that sends too much that is discarded, and an answer in whose body another one begins.
+ * an upstream that sends too much that is discarded, and an answer in whose head or body another one begins.
  *
  * @param number number of the connection in this process, for logs.
  * @param onHead called with each head, including those of extra answers, before the attempt that it belongs to; and
@@ -50,7 +49,7 @@
     val decoder = AnswerDecoder(::isAnswerDue, ::isBodiless, ::unrequested)
     private val headCheck = AnswerHeadCheck(format.singleAnswerHeaders)
     private var history = ConnectionHistory()
-    private var headSearch = EmbeddedHeadSearch(format.attemptIdHeader)
+    private val body = BodyCheck(format.attemptIdHeader) { history.hasCarried(it) }
     private var sentAtMs = 0L
     private var expectedId: String? = null
     private var requests = 0
@@ -158,7 +157,7 @@
         if (isSkipping) return countSkippedHead()
         history = history.answered(head.attemptId, head.stamp)
         framing = framingOf(response)
-        headSearch = EmbeddedHeadSearch(format.attemptIdHeader)
+        body.restart()
         readKeepAlive(head, response)
         current.onHead(head, response, framing)
     }
@@ -183,13 +182,16 @@
     private fun onContent(content: HttpContent) {
         if (isSkipping || isDiscarding) return discard(content)
         val current = listener ?: return
-        val bytes = content.content()
-        if (bytes.isReadable && (headSearch.isInsideHead || bytes.contains(PROTOCOL_START))) searchHead(bytes.text())
-        if (content is LastHttpContent && headSearch.isInsideHead) searchHead(decoder.unreadText)
-        if (headSearch.foundId != null) return failSecondAnswer()
-        if (bytes.isReadable) current.onBody(bytes)
-        if (content !is LastHttpContent || listener !== current || isBroken) return
-        isEndInQuestion = headSearch.isInsideHead && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
+        val isLast = content is LastHttpContent
+        body.read(content.content())
+        if (isLast && body.isInsideHead) body.read(decoder.unreadText)
+        if (body.foundId != null) return failSecondAnswer()
+        if (content.content().isReadable) current.onBody(content.content())
+        if (isLast && listener === current && !isBroken) bodyEnded(current)
+    }
+
+    private fun bodyEnded(current: AttemptListener) {
+        isEndInQuestion = body.isInsideHead && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
         if (!isEndInQuestion) finish(current)
     }
 
@@ -199,15 +201,7 @@
         ctx.fireChannelReadComplete()
     }
 
-    private fun failSecondAnswer() = failUnreadable("the head of an answer to ${headSearch.foundId} in the body")
-
-    private fun searchHead(text: String) {
-        headSearch = headSearch.read(text, history::hasCarried)
-    }
-
-    private fun ByteBuf.contains(byte: Byte): Boolean = indexOf(readerIndex(), writerIndex(), byte) >= 0
-
-    private fun ByteBuf.text(): String = toString(Charsets.ISO_8859_1)
+    private fun failSecondAnswer() = failUnreadable("the head of an answer to ${body.foundId} in the body")
 
     private fun discard(content: HttpContent) {
         discardedBytes += content.content().readableBytes()
@@ -234,8 +228,8 @@
     private fun isAnswerDue(): Boolean = isDiscarding || (listener != null && !isEndInQuestion)
 
     private fun unrequested(bytes: ByteBuf) {
-        if (isEndInQuestion) searchHead(bytes.text())
-        if (headSearch.foundId != null) return failSecondAnswer()
+        if (isEndInQuestion) body.read(bytes)
+        if (body.foundId != null) return failSecondAnswer()
         if (!isOpen) return
         log.unreadable(upstream, position, null, "${bytes.readableBytes()} unrequested bytes", time.monotonicMs())
         closesAfterAnswer = true
@@ -288,7 +282,6 @@
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
-        const val PROTOCOL_START = 'H'.code.toByte()
 
         /** An attempt whose answer comes after more interim and late ones than this gets none. */
         const val MAX_SKIPPED_HEADS = 16
