Trust no head of a service or an engine into which a second answer was written

The role sidecar took an answer that stopped in its head of a 200 and went on as a 504 for a success, at each cut in the reason phrase, behind the status line and in the headers: the HTTP client checks neither the reason phrase nor the names and values of headers.

All clients of the sidecar refuse such a head as a lost answer.

--- /dev/null
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/http/OneAnswerInterceptor.kt
@@ -0,0 +1,16 @@
+package org.medlarhook.runtime.http
+
+import okhttp3.Interceptor
+import okhttp3.Response
+import org.medlarhook.core.serving.answer.HeadCheck
+import java.io.IOException
+
+/** Fails a call whose answer has a head into which a second answer was written. For use as a network interceptor. */
+public object OneAnswerInterceptor : Interceptor {
+    override fun intercept(chain: Interceptor.Chain): Response {
+        val response = chain.proceed(chain.request())
+        val fault = HeadCheck.faultOf(response.message, response.headers) ?: return response
+        response.close()
+        throw IOException("the answer is not one: $fault")
+    }
+}
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/http/SingleSendClient.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/http/SingleSendClient.kt
@@ -4,6 +4,7 @@
 import okhttp3.Interceptor
 import okhttp3.OkHttpClient
 import okhttp3.Response
+import org.medlarhook.runtime.http.OneAnswerInterceptor
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 
@@ -24,6 +25,7 @@
             .followSslRedirects(false)
             .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
             .connectTimeout(Duration.ofMillis(connectTimeoutMs))
+            .addNetworkInterceptor(OneAnswerInterceptor)
             .addNetworkInterceptor(Interceptor { chain -> removeRetryAfter(chain.proceed(chain.request())) })
             .build()
 
