Trust no head of the store into which a second answer was written

Answers of the platform's store were read as a success where a 200 stopped in its head and went on as a 503, by the same HTTP client. StoreAnswerEndsInHeadTest: the first case failed before, the second one held.

--- a/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttpClient.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/platform/PlatformHttpClient.kt
@@ -12,6 +12,7 @@
 import okhttp3.RequestBody
 import okhttp3.RequestBody.Companion.toRequestBody
 import org.medlarhook.ports.TableFailure
+import org.medlarhook.runtime.http.OneAnswerInterceptor
 import java.io.IOException
 import java.net.ConnectException
 import java.time.Duration
@@ -34,6 +35,7 @@
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .eventListener(listener)
+            .addNetworkInterceptor(OneAnswerInterceptor)
             .callTimeout(Duration.ofMillis(callTimeoutMs))
             .build()
 
