Check the heads of the store and of services as they were received

The check of a head ran behind the interceptor that removes Retry-After, so that a 503 which stopped in that header and went on as a 200 passed: a call that was carried out would count as not carried out. Found by the review, by reading.

A status line in a value counts only if no address goes on behind its three digits: Via may name HTTP/1.1 192.168.0.1.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/answer/HeadCheck.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/answer/HeadCheck.kt
@@ -9,11 +9,13 @@
  */
 public object HeadCheck {
     private const val PROTOCOL = "HTTP/"
-    private val STATUS_LINE = Regex("HTTP/[0-9][.][0-9] [0-9]{3}")
+
+    /** A value may name a protocol and an address, as Via does. */
+    private val STATUS_LINE = Regex("HTTP/[0-9][.][0-9] [0-9]{3}(?![0-9.:])")
 
     /** Says where a second status line stands in a head with [reason] and [headers], or returns null if none does. */
     public fun faultOf(reason: String, headers: Iterable<Pair<String, String>>): String? {
-        if (PROTOCOL in reason) return "a status line in the reason phrase"
+        if (STATUS_LINE in reason) return "a status line in the reason phrase"
         val (name, _) = headers.firstOrNull { (name, value) -> PROTOCOL in name || STATUS_LINE in value } ?: return null
         return "a status line in the header $name"
     }
--- a/sidecar/src/main/kotlin/org/medlarhook/sidecar/http/SingleSendClient.kt
+++ b/sidecar/src/main/kotlin/org/medlarhook/sidecar/http/SingleSendClient.kt
@@ -25,8 +25,8 @@
             .followSslRedirects(false)
             .connectionPool(ConnectionPool(0, 1, TimeUnit.MILLISECONDS))
             .connectTimeout(Duration.ofMillis(connectTimeoutMs))
-            .addNetworkInterceptor(OneAnswerInterceptor)
             .addNetworkInterceptor(Interceptor { chain -> removeRetryAfter(chain.proceed(chain.request())) })
+            .addNetworkInterceptor(OneAnswerInterceptor)
             .build()
 
     private fun removeRetryAfter(response: Response): Response {
