Find a second answer by its stamp, and in an answer that is passed over

A copy without an id, behind an answer that ends with its connection, made the caller's body too long, though the copy bears the stamp of the first. And an error of the upstream's, written where the rest of a half-written copy of an earlier answer was due, was swallowed with that copy, so that a success behind it would have counted.

A connection that has carried a HEAD request is not used again: a late copy of its answer is read with a body. Interim answers are no longer logged as extra ones.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/answer/ConnectionHistory.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/answer/ConnectionHistory.kt
@@ -24,8 +24,8 @@
     public fun isDistinct(id: String?): Boolean =
         requests == 0 || (returnsIds && id != null && id.hashCode() !in recentIdHashes)
 
-    /** True if the connection has lately carried a request of the attempt with [id]. */
-    public fun hasCarried(id: String): Boolean = id.hashCode() in recentIdHashes
+    /** True if [name] is the id of a request that the connection has lately carried, or the stamp of such an answer. */
+    public fun knows(name: String): Boolean = name.hashCode().let { it in recentIdHashes || it in recentStampHashes }
 
     /** Records that a request of the attempt with [id], or of none, was sent. */
     public fun sent(id: String?): ConnectionHistory =
--- a/core/src/test/kotlin/org/medlarhook/core/serving/answer/EmbeddedHeadSearchTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/serving/answer/EmbeddedHeadSearchTest.kt
@@ -9,16 +9,17 @@
     private val head = "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 4\r\nattempt-id: a\r\n\r\nlate"
 
     private fun read(parts: List<String>, known: String = "a"): EmbeddedHeadSearch =
-        parts.fold(EmbeddedHeadSearch("Attempt-Id")) { search, part ->
-            if (search.foundId == null) search.read(part) { it == known } else search
+        parts.fold(EmbeddedHeadSearch(listOf("Attempt-Id", "Stamp"))) { search, part ->
+            if (search.foundName == null) search.read(part) { it == known } else search
         }
 
     @Test
     fun `Given a head of a known request, then it is found however the body is read`() {
         val body = "HTT, HTTP/1.1 and HTTP/2 $head and more"
 
-        for (size in 1..body.length) assertEquals("a", read(body.chunked(size)).foundId, "parts of $size")
-        assertEquals("a", read(listOf(body.replace("\r\n", "\n"))).foundId)
+        for (size in 1..body.length) assertEquals("a", read(body.chunked(size)).foundName, "parts of $size")
+        assertEquals("a", read(listOf(body.replace("\r\n", "\n"))).foundName)
+        assertEquals("s", read(listOf(body.replace("attempt-id: a", "stamp: s")), known = "s").foundName)
     }
 
     @Test
@@ -30,7 +31,7 @@
                 "attempt-id: a\r\n",
             )
 
-        for (body in bodies) for (size in 1..body.length) assertNull(read(body.chunked(size)).foundId, body)
+        for (body in bodies) for (size in 1..body.length) assertNull(read(body.chunked(size)).foundName, body)
     }
 
     @Test
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/CallFormat.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/CallFormat.kt
@@ -9,8 +9,8 @@
 
 /** Converts between HTTP messages in the platform's format and the types of this module. */
 public interface CallFormat {
-    /** Name of the header in which upstreams return the id of the attempt that they answer. */
-    public val attemptIdHeader: String
+    /** Names of the headers that tell an upstream's answer from others: the id of the attempt, and the stamp. */
+    public val answerNameHeaders: List<String>
 
     /** Names of the headers that an upstream's answer has at most once. */
     public val singleAnswerHeaders: List<String>
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/BodyCheck.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/BodyCheck.kt
@@ -6,23 +6,23 @@
 /**
  * Searches the body of one answer for the head of another one: see [EmbeddedHeadSearch].
  *
- * @param isKnown true for the id of a request that the connection has carried.
+ * @param isKnown true for the id of a request that the connection has carried, and for the stamp of an answer to one.
  */
 internal class BodyCheck(
-    private val idHeader: String,
+    private val nameHeaders: List<String>,
     private val isKnown: (String) -> Boolean,
 ) {
-    private var search = EmbeddedHeadSearch(idHeader)
+    private var search = EmbeddedHeadSearch(nameHeaders)
 
-    /** The id that the other answer returns, or null if none was found. */
-    val foundId: String? get() = search.foundId
+    /** The id or stamp of the other answer, or null if none was found. */
+    val foundName: String? get() = search.foundName
 
     /** True if the body ends inside what may be a head. */
     val isInsideHead: Boolean get() = search.isInsideHead
 
     /** Begins with the next body. */
     fun restart() {
-        search = EmbeddedHeadSearch(idHeader)
+        search = EmbeddedHeadSearch(nameHeaders)
     }
 
     fun read(bytes: ByteBuf) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -25,8 +25,8 @@
  * One connection to an upstream, used by one attempt at a time.
  *
  * An answer that is not that to the latest request, as told by [ConnectionHistory], is an extra one: it is discarded,
- * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection, as does
- * an upstream that sends too much that is discarded, and an answer in whose head or body another one begins.
+ * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection. So do an
+ * upstream that sends too much that is discarded, and an answer in whose head or body another one begins.
  *
  * @param number number of the connection in this process, for logs.
  * @param onHead called with each head, including those of extra answers, before the attempt that it belongs to; and
@@ -49,7 +49,7 @@
     val decoder = AnswerDecoder(::isAnswerDue, ::isBodiless, ::unrequested)
     private val headCheck = AnswerHeadCheck(format.singleAnswerHeaders)
     private var history = ConnectionHistory()
-    private val body = BodyCheck(format.attemptIdHeader) { history.hasCarried(it) }
+    private val body = BodyCheck(format.answerNameHeaders) { history.knows(it) }
     private var sentAtMs = 0L
     private var expectedId: String? = null
     private var requests = 0
@@ -153,11 +153,11 @@
         }
         isSkipping = isExtra || head.status < FIRST_FINAL_STATUS
         if (isExtra && isAmbiguous(head)) return failUnreadable("an answer without an id, status ${head.status}")
-        if (isExtra) logDiscarded(head, DiscardReason.OTHER_ID)
+        if (isExtra && head.status >= FIRST_FINAL_STATUS) logDiscarded(head, DiscardReason.OTHER_ID)
+        body.restart()
         if (isSkipping) return countSkippedHead()
         history = history.answered(head.attemptId, head.stamp)
         framing = framingOf(response)
-        body.restart()
         readKeepAlive(head, response)
         current.onHead(head, response, framing)
     }
@@ -180,12 +180,13 @@
         expectsHeadOnly && history.isAnswerToLatest(format.readHead(response).attemptId)
 
     private fun onContent(content: HttpContent) {
-        if (isSkipping || isDiscarding) return discard(content)
+        if (isDiscarding) return discard(content)
         val current = listener ?: return
         val isLast = content is LastHttpContent
         body.read(content.content())
+        if (isSkipping && body.foundName == null) return discard(content)
         if (isLast && body.isInsideHead) body.read(decoder.unreadText)
-        if (body.foundId != null) return failSecondAnswer()
+        if (body.foundName != null) return failSecondAnswer()
         if (content.content().isReadable) current.onBody(content.content())
         if (isLast && listener === current && !isBroken) bodyEnded(current)
     }
@@ -201,7 +202,7 @@
         ctx.fireChannelReadComplete()
     }
 
-    private fun failSecondAnswer() = failUnreadable("the head of an answer to ${body.foundId} in the body")
+    private fun failSecondAnswer() = failUnreadable("the head of an answer to ${body.foundName} in the body")
 
     private fun discard(content: HttpContent) {
         discardedBytes += content.content().readableBytes()
@@ -229,7 +230,7 @@
 
     private fun unrequested(bytes: ByteBuf) {
         if (isEndInQuestion) body.read(bytes)
-        if (body.foundId != null) return failSecondAnswer()
+        if (body.foundName != null) return failSecondAnswer()
         if (!isOpen) return
         log.unreadable(upstream, position, null, "${bytes.readableBytes()} unrequested bytes", time.monotonicMs())
         closesAfterAnswer = true
@@ -237,7 +238,11 @@
     }
 
     private fun readKeepAlive(head: UpstreamHead, response: HttpResponse) {
-        closesAfterAnswer = head.closesConnection || !HttpUtil.isKeepAlive(response) || !history.canCarryMore
+        closesAfterAnswer =
+            head.closesConnection ||
+            expectsHeadOnly ||
+            !HttpUtil.isKeepAlive(response) ||
+            !history.canCarryMore
         head.idleTimeoutMs?.let { idleTimeoutMs = it }
     }
 
