--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -25,8 +25,8 @@
  * One connection to an upstream, used by one attempt at a time.
  *
  * An answer that is not that to the latest request, as told by [ConnectionHistory], is an extra one: it is discarded,
- * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection, as does
- * an upstream that sends too much that is discarded, or an answer in which another one begins.
+ * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection, as
+ * does an upstream that sends too much that is discarded, or an answer in which another one begins.
  *
  * @param number number of the connection in this process, for logs.
  * @param onHead called with each head, including those of extra answers, before the attempt that it belongs to; and
