Find a second answer whose head the end of a body and of a read cut apart

A success whose body ended with the first bytes of a 504 reached its caller, where the read of the connection ended with the body or a few bytes behind it: what followed in the next read of the same turn was not searched if bytes were left unread, and nothing at all where the decoder had taken them for a message.

A body that ends inside what may be a head is now whole only once the turn has brought nothing that completes the head; until then what arrives is searched and not decoded, and the connection is not used again if anything came. SecondAnswerInBodyTest, new case: 200 at 2,047 bytes before, with the guard as it was and without it; holds at five sizes.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -131,6 +131,7 @@
 
     override fun channelRead(ctx: ChannelHandlerContext, message: Any) {
         try {
+            if (isEndInQuestion) return
             if (message is HttpObject && message.decoderResult().isFailure) {
                 return failUnreadable("${message.decoderResult().cause()}")
             }
@@ -192,11 +193,12 @@
     }
 
     private fun bodyEnded(current: AttemptListener) {
-        isEndInQuestion = body.isInsideHead && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
+        isEndInQuestion = body.isInsideHead && framing != BodyFraming.CONNECTION_CLOSE
+        if (decoder.hasUnreadBytes) closesAfterAnswer = true
         if (!isEndInQuestion) finish(current)
     }
 
-    /** A body that ends inside what may be a head is whole if nothing follows it at once. */
+    /** A body that ends inside what may be a head is whole unless what has arrived with it completes the head. */
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         if (isEndInQuestion) listener?.let { finish(it) }
         ctx.fireChannelReadComplete()
@@ -221,20 +223,23 @@
     }
 
     private fun reuseOrClose() {
-        val isReusable =
-            !closesAfterAnswer && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
+        val isReusable = !closesAfterAnswer && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
         if (isReusable) onIdle(this) else context.close()
     }
 
     private fun isAnswerDue(): Boolean = isDiscarding || (listener != null && !isEndInQuestion)
 
     private fun unrequested(bytes: ByteBuf) {
-        if (isEndInQuestion) body.read(bytes)
-        if (body.foundName != null) return failSecondAnswer()
+        if (isEndInQuestion) return readBehindEnd(bytes)
         if (!isOpen) return
         log.unreadable(upstream, position, null, "${bytes.readableBytes()} unrequested bytes", time.monotonicMs())
+        context.close()
+    }
+
+    private fun readBehindEnd(bytes: ByteBuf) {
         closesAfterAnswer = true
-        if (isEndInQuestion) listener?.let { finish(it) } else context.close()
+        body.read(bytes)
+        if (body.foundName != null) failSecondAnswer()
     }
 
     private fun readKeepAlive(head: UpstreamHead, response: HttpResponse) {
