--- a/core/src/main/kotlin/org/medlarhook/core/serving/answer/EmbeddedHeadSearch.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/answer/EmbeddedHeadSearch.kt
@@ -7,7 +7,8 @@
  * A head counts only if it names a request that the connection has carried, or an answer to one: text that quotes
  * another answer is a body like any other. A second answer that names neither is not found.
  *
- * @property carried the end of what was read, as far as it may be the beginning of a head.
+ * @param carried the end of what was read, as far as it may be the beginning of a head.
+ * @property foundName what the first head found names itself by, or null if none was found.
  */
 public class EmbeddedHeadSearch private constructor(
     private val nameHeaders: List<String>,
@@ -20,7 +21,7 @@
     /** True if the body ends inside what may be a head. */
     public val isInsideHead: Boolean get() = carried.isNotEmpty()
 
-    /** Reads on in [text]; [foundName] is the first name found in a head that [isKnown] to the connection. */
+    /** Reads on in [text]; only a name that [isKnown] to the connection counts. */
     public fun read(text: String, isKnown: (String) -> Boolean): EmbeddedHeadSearch {
         val all = carried + text
         var position = all.indexOf(PROTOCOL)
