Take no part of an early answer for whole, and no status outside 100 to 599

Cause: the orderly end of a connection counted as the end of an unframed answer although the upload behind it had not been read, so that a reset followed; a framed answer that came while its upload was still being written returned the connection for reuse; the decoders accept any number as a status; OkHttp reads an answer to a request that it could not write.

Change: ConnectionEnd decides what an end means, RequestWrite applies it and looks for a reset within 60 ms after large uploads, AnswerStatus decides once what a status is, the last interceptor of all OkHttp clients checks both.

--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerDecoder.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerDecoder.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseDecoder
+import org.medlarhook.core.serving.answer.AnswerStatus
 
 /**
  * Decodes the answers on a connection to an upstream.
@@ -22,6 +23,10 @@
     private val isBodiless: (HttpResponse) -> Boolean,
     private val onUnrequested: (ByteBuf) -> Unit,
 ) : HttpResponseDecoder(CONFIG) {
+    /** True once the connection's input has ended; what is decoded then has no other end. */
+    var hasInputEnded = false
+        private set
+
     /** True if bytes have arrived that belong to no answer which has been decoded. */
     val hasUnreadBytes: Boolean get() = actualReadableBytes() > 0
 
@@ -40,6 +45,17 @@
         }
     }
 
+    /** Rejects a status that isn't one, before its text becomes a number. */
+    override fun createMessage(initialLine: Array<String>): HttpMessage {
+        require(AnswerStatus.isValid(initialLine[1])) { "status ${initialLine[1]}; expected 100 to 599" }
+        return super.createMessage(initialLine)
+    }
+
+    override fun decodeLast(ctx: ChannelHandlerContext, input: ByteBuf, out: MutableList<Any>) {
+        hasInputEnded = true
+        super.decodeLast(ctx, input, out)
+    }
+
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || (message is HttpResponse && isBodiless(message))
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerHeadCheck.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AnswerHeadCheck.kt
@@ -17,7 +17,8 @@
         val version = response.protocolVersion()
         if (version != HttpVersion.HTTP_1_1 && version != HttpVersion.HTTP_1_0) return "version $version"
         val headers = response.headers()
-        return HeadCheck.faultOf(response.status().reasonPhrase(), headers.map { (name, value) -> name to value })
+        val status = response.status()
+        return HeadCheck.faultOf(status.code(), status.reasonPhrase(), headers.map { (name, value) -> name to value })
             ?: singleHeaders.firstOrNull { headers.getAll(it).size > 1 }?.let { "the header $it more than once" }
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/AttemptListener.kt
@@ -28,13 +28,6 @@
     fun onAbandoned()
 }
 
-/** How the end of an answer's body is determined. */
-internal enum class BodyFraming {
-    LENGTH,
-    CHUNKED,
-    CONNECTION_CLOSE,
-}
-
 /** Why an attempt has no complete answer. */
 internal enum class AttemptFailure {
     CONNECT_FAILED,
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamConnection.kt
@@ -3,10 +3,9 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
@@ -26,7 +25,8 @@
  *
  * An answer that is not that to the latest request, as told by [ConnectionHistory], is an extra one: it is discarded,
  * and the attempt keeps waiting for its own. Anything that arrives while no attempt waits closes the connection, as
- * does an upstream that sends too much that is discarded, or an answer in which another one begins.
+ * does an upstream that sends too much that is discarded, or an answer in which another one begins. An answer that is
+ * framed may end while its request is still being written; one that ends with the connection may not.
  *
  * @param number number of the connection in this process, for logs.
  * @param onHead called with each head, including those of extra answers, before the attempt that it belongs to; and
@@ -50,6 +50,7 @@
     private val headCheck = AnswerHeadCheck(format.singleAnswerHeaders)
     private var history = ConnectionHistory()
     private val body = BodyCheck(format.answerNameHeaders) { history.knows(it) }
+    private var write: RequestWrite? = null
     private var sentAtMs = 0L
     private var expectedId: String? = null
     private var requests = 0
@@ -65,9 +66,6 @@
 
     /** True while the body has come to its end, but may be one into which the head of another answer was written. */
     private var isEndInQuestion = false
-
-    /** True if the connection has failed or its request was not sent whole; its end then completes no answer. */
-    private var isBroken = false
     private var framing = BodyFraming.LENGTH
 
     /** When the connection became idle, on the monotonic clock. */
@@ -101,7 +99,7 @@
         discardedBytes = 0
         skippedHeads = 0
         attempt.onSent(position)
-        context.writeAndFlush(request).addListener { if (!it.isSuccess) isBroken = true }
+        write = RequestWrite(context, request)
     }
 
     /** Closes the connection if it still serves [attempt], so that the upstream stops working on the request. */
@@ -158,7 +156,7 @@
         body.restart()
         if (isSkipping) return countSkippedHead()
         history = history.answered(head.attemptId, head.stamp)
-        framing = framingOf(response)
+        framing = BodyFraming.of(response, expectsHeadOnly)
         readKeepAlive(head, response)
         current.onHead(head, response, framing)
     }
@@ -189,15 +187,33 @@
         if (isLast && body.isInsideHead) body.read(decoder.unreadText)
         if (body.foundName != null) return failSecondAnswer()
         if (content.content().isReadable) current.onBody(content.content())
-        if (isLast && listener === current && !isBroken) bodyEnded(current)
+        if (isLast && listener === current) bodyEnded(current)
     }
 
     private fun bodyEnded(current: AttemptListener) {
+        if (decoder.hasInputEnded) return connectionEnded(current)
         isEndInQuestion = body.isInsideHead && framing != BodyFraming.CONNECTION_CLOSE
         if (decoder.hasUnreadBytes) closesAfterAnswer = true
         if (!isEndInQuestion) finish(current)
     }
 
+    private fun connectionEnded(current: AttemptListener) {
+        write?.connectionEnded { isComplete ->
+            if (listener === current && isComplete) finish(current) else loseConnection()
+        }
+    }
+
+    private fun loseConnection() {
+        fail(AttemptFailure.CONNECTION_LOST)
+        context.close()
+    }
+
+    /** Closes a connection whose input has ended, unless a reset would still make its answer incomplete. */
+    override fun userEventTriggered(ctx: ChannelHandlerContext, event: Any) {
+        if (event is ChannelInputShutdownEvent && write?.isEndAwaited != true) ctx.close()
+        ctx.fireUserEventTriggered(event)
+    }
+
     /** A body that ends inside what may be a head is whole unless what has arrived with it completes the head. */
     override fun channelReadComplete(ctx: ChannelHandlerContext) {
         if (isEndInQuestion) listener?.let { finish(it) }
@@ -223,8 +239,8 @@
     }
 
     private fun reuseOrClose() {
-        val isReusable = !closesAfterAnswer && framing != BodyFraming.CONNECTION_CLOSE && !decoder.hasUnreadBytes
-        if (isReusable) onIdle(this) else context.close()
+        val isKept = !closesAfterAnswer && framing != BodyFraming.CONNECTION_CLOSE && write?.isWritten == true
+        if (isKept && !decoder.hasUnreadBytes) onIdle(this) else context.close()
     }
 
     private fun isAnswerDue(): Boolean = isDiscarding || (listener != null && !isEndInQuestion)
@@ -251,19 +267,6 @@
         head.idleTimeoutMs?.let { idleTimeoutMs = it }
     }
 
-    private fun framingOf(response: HttpResponse): BodyFraming =
-        when {
-            HttpUtil.isTransferEncodingChunked(response) -> BodyFraming.CHUNKED
-            response.headers().contains(HttpHeaderNames.CONTENT_LENGTH) -> BodyFraming.LENGTH
-            expectsHeadOnly || response.status().code() in BODILESS_STATUSES -> BodyFraming.LENGTH
-            response.headers().contains(
-                HttpHeaderNames.CONNECTION,
-                HttpHeaderValues.UPGRADE,
-                true,
-            ) -> BodyFraming.LENGTH
-            else -> BodyFraming.CONNECTION_CLOSE
-        }
-
     private fun logDiscarded(head: UpstreamHead, reason: DiscardReason) =
         log.discarded(upstream, position, head, expectedId, reason, time.monotonicMs())
 
@@ -274,9 +277,7 @@
     }
 
     override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
-        isBroken = true
-        fail(AttemptFailure.CONNECTION_LOST)
-        ctx.close()
+        loseConnection()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
@@ -301,7 +302,6 @@
 
         /** The rest of a rejection usually arrives with its head. */
         const val MAX_DISCARDING_MS = 1_000L
-        val BODILESS_STATUSES = setOf(204, 304)
 
         /** Idle timeout of connections whose upstream has not sent its own. */
         const val DEFAULT_IDLE_TIMEOUT_MS = 5_000L
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamPool.kt
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.nio.NioChannelOption
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpRequestEncoder
 import jdk.net.ExtendedSocketOptions
@@ -157,7 +156,7 @@
     private fun bootstrap(address: Endpoint, connection: UpstreamConnection) =
         Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel::class.java)
+            .channel(UpstreamChannel::class.java)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
