Read load reports of four figures, and count those that can't be read

Change: three or four figures are read; any other report is malformed, costs that report only, is counted as `malformed_load` and logged as 635 with a throttle.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -34,7 +34,7 @@
 
     /** Records the load report in the answer's [head], if there is one. */
     fun headReceived(head: UpstreamHead) {
-        val reported = head.load ?: return
+        val reported = head.load?.counts ?: return
         update { it.withReportedLoad(reported.running, reported.waiting, serving.nowMs()) }
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -10,6 +10,7 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.crash.CrashLog
+import org.medlarhook.serving.process.LogThrottle
 import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -26,6 +27,7 @@
     private val isQuiet: Boolean = false,
 ) {
     private val timers = HashMap<String, Timer>()
+    private val malformedLoadLines = LogThrottle()
 
     /** Logs what is concluded about requests and prompt parts under which upstreams crash. */
     val crashes = CrashLog(registry, isQuiet)
@@ -149,6 +151,18 @@
         )
     }
 
+    /** Counts that [upstream] has sent the malformed load report [value], and logs some of them. */
+    fun loadMalformed(upstream: Upstream, value: String, nowMs: Long) {
+        announcements("malformed_load").increment()
+        if (isQuiet || !malformedLoadLines.permits(nowMs)) return
+        logger.warnEvent(
+            LogEvent.LOAD_REPORT_MALFORMED,
+            "upstream" to upstream.id,
+            "startedAtMs" to upstream.startedAtMs,
+            "load" to value.take(MAX_LOGGED_CHARS),
+        )
+    }
+
     /** Counts what became of a retry that a request needed. */
     fun retry(outcome: RetryOutcome) {
         Counter
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -299,7 +299,7 @@
         estimates = estimates.put(service, change(estimatesOf(service)))
     }
 
-    private fun estimatesOf(service: String): ServiceEstimates = estimates[service] ?: ServiceEstimates()
+    fun estimatesOf(service: String): ServiceEstimates = estimates[service] ?: ServiceEstimates()
 
     /** Returns [demand] as one of the service where its stream has begun, if it has. */
     fun withOrigin(demand: Demand, origin: StreamOrigin): Demand {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UpstreamHead.kt
@@ -49,14 +49,27 @@
 /**
  * The load report in an upstream's answer.
  *
+ * @property text the value as received.
+ * @property counts what it says, or null if it is malformed.
+ */
+public data class ReportedLoad(
+    val text: String,
+    val counts: LoadCounts?,
+)
+
+/**
+ * What an upstream reports of its load.
+ *
  * @property running requests that run.
  * @property waiting requests that wait to run.
  * @property slots requests that can run at once.
+ * @property workTime how long work takes there now, divided by the usual time; null if it does not say.
  */
-public data class ReportedLoad(
+public data class LoadCounts(
     val running: Int,
     val waiting: Int,
     val slots: Int,
+    val workTime: Double?,
 )
 
 /**
--- a/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/upstream/UpstreamAvailability.kt
@@ -59,6 +59,7 @@
      */
     fun answered(upstream: Upstream, head: UpstreamHead, sentAtMs: Long?) {
         if (head.isMisdirected) return
+        head.load?.takeIf { it.counts == null }?.let { log.loadMalformed(upstream, it.text, time.monotonicMs()) }
         if (head.isLeaving && !isLeaving(upstream.incarnation)) {
             leaving = leaving.announced(upstream.incarnation, time.monotonicMs())
             log.upstreamLeaves(upstream)
