Limit workspaces to their allowance over all processes

Cause: rate, burst and unit of workspaces were not read, so that one workspace could use several times its allowance. Change: each process keeps a view of one token bucket a workspace for all processes, withdraws what it uses and what the others tell in datagrams, and near the limit admits with the probability with which the bucket covers all that is asked until the next reports. Processes that hear no other use an equal share. Admission is a class of its own.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/config/ServingConfig.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/config/ServingConfig.kt
@@ -15,10 +15,11 @@
     val workspaceByKey: PersistentMap<String, Workspace>?,
 )
 
-/** A workspace; its [priority], if set, overrides the route's. */
+/** A workspace; its [priority], if set, overrides the route's. Without an [allowance] it is not limited. */
 public data class Workspace(
     val name: String,
     val priority: Int?,
+    val allowance: Allowance? = null,
 )
 
 /** Limits for the size of a caller's request and for the time to send it. */
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -375,7 +375,7 @@
         deadline?.cancel(false)
         if (record.isOrphaned) endOrphanAtDeadline() else relay?.release()
         call.body.release()
-        serving.finished(record, outcome)
+        serving.finished(record, outcome, possibleRuns)
         onDone()
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -9,6 +9,7 @@
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.allowance.AllowanceLog
 import org.medlarhook.serving.crash.CrashLog
 import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
@@ -30,6 +31,9 @@
     /** Logs what is concluded about requests and prompt parts under which upstreams crash. */
     val crashes = CrashLog(registry, isQuiet)
 
+    /** Logs the decisions on requests of limited workspaces. */
+    val allowances = AllowanceLog(registry, isQuiet)
+
     /** Logs the answers of upstreams that reach no request. */
     val answers = AnswerLog(registry, isQuiet)
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -1,16 +1,9 @@
 package org.medlarhook.serving.call
 
-import arrow.core.Either
-import arrow.core.getOrElse
-import arrow.core.left
-import arrow.core.right
 import io.netty.channel.EventLoop
 import kotlinx.collections.immutable.PersistentMap
 import kotlinx.collections.immutable.persistentMapOf
-import org.medlarhook.core.result.ResultCode
-import org.medlarhook.core.serving.config.Route
 import org.medlarhook.core.serving.config.ServingConfig
-import org.medlarhook.core.serving.config.Workspace
 import org.medlarhook.core.serving.fleet.EngineStage
 import org.medlarhook.core.serving.fleet.Incarnation
 import org.medlarhook.core.serving.fleet.RegistryUpdate
@@ -29,6 +22,7 @@
 import org.medlarhook.core.serving.trust.ConfigFreshness
 import org.medlarhook.core.serving.usage.UsageWindows
 import org.medlarhook.ports.TimeSource
+import org.medlarhook.serving.allowance.Allowances
 import org.medlarhook.serving.crash.CrashSubject
 import org.medlarhook.serving.crash.UpstreamCrashes
 import org.medlarhook.serving.peer.LimitReport
@@ -76,6 +70,10 @@
     /** The retries that this process may send. */
     val retryBudgets = RetryBudgets(bounds, log)
 
+    /** What the workspaces may use. */
+    val allowances = Allowances(bounds.allowance, time, random, log.allowances)
+    private val admission = RequestAdmission(this, random, retryAfterPolicy)
+
     /** The plain answers that are kept until they are whole. */
     val answerBuffers = AnswerBuffers()
 
@@ -115,6 +113,7 @@
         val current = config
         if (current != null && newer.version <= current.version) return false
         config = newer
+        allowances.configure(newer)
         return true
     }
 
@@ -154,6 +153,7 @@
         bounds = newer
         configFreshness = configFreshness.withMaxAge(newer.keyTrustMs)
         retryBudgets.updateBounds(newer)
+        allowances.updateBounds(newer.allowance)
     }
 
     /** Begins the graceful shutdown, from which on each answer closes its connection. */
@@ -169,6 +169,7 @@
         registry = registry.expire(nowMs())
         origins.prune()
         crashes.tick()
+        allowances.tick()
         dropUnregistered()
     }
 
@@ -176,68 +177,16 @@
     private fun isLeaving(upstream: Upstream): Boolean =
         availability.isLeaving(upstream.incarnation) || registry.find(upstream.id)?.isDraining != false
 
-    /** Counts a request that arrived at [arrivedAtMs] as in flight; admits it or refuses it by its route and key. */
+    /** Counts a request that arrived at [arrivedAtMs] as in flight, and admits or refuses it. */
     fun admit(call: CallerCall, arrivedAtMs: Long): Admission {
         inFlight++
-        val current = config ?: return Admission.Refused(ResultCode.NO_CONFIG, RETRY_WITHOUT_CONFIG_MS)
-        val route = current.routes.find(call.host, call.path) ?: return Admission.Refused(ResultCode.NO_ROUTE, null)
-        val atMs = nowMs()
-        val workspace = workspaceOf(call, route, current, atMs).getOrElse { return it }
-        val waitMs = minOf(call.remainingMs ?: route.timeoutMs, route.timeoutMs)
-        val service = route.drawService(random)
-        retryBudgets.requested(service, atMs)
-        val demand =
-            Demand(
-                route = route,
-                service = service,
-                generation = call.generation,
-                workspace = workspace?.name,
-                arrivedAtMs = arrivedAtMs,
-                deadlineAtMs = arrivedAtMs + waitMs,
-                priority = workspace?.priority ?: route.priority,
-                engine = current.services[service]?.engine,
-            )
-        return refusalAtShutdown(demand, atMs) ?: Admission.Admitted(demand)
-    }
-
-    /** The workspace that holds the key of [call], null where no key is needed, or the refusal of the key. */
-    private fun workspaceOf(
-        call: CallerCall,
-        route: Route,
-        current: ServingConfig,
-        atMs: Long,
-    ): Either<Admission.Refused, Workspace?> {
-        val workspaceByKey = current.workspaceByKey?.takeUnless { route.isAnonymous } ?: return null.right()
-        observeClocks()
-        val key = call.apiKey
-        val workspace = workspaceByKey[key]
-        return when {
-            key == null -> Admission.Refused(ResultCode.KEY_MISSING, null).left()
-            !configFreshness.mayAccept(atMs) -> Admission.Refused(ResultCode.AUTHORITY_UNCERTAIN, RETRY_MS).left()
-            workspace == null -> Admission.Refused(ResultCode.KEY_INVALID, null).left()
-            else -> workspace.right()
-        }
+        return admission.decide(call, arrivedAtMs)
     }
 
     /** True if an attempt of [demand] that begins at [nowMs] ends before the process does, as far as can be told. */
     fun endsBeforeShutdown(demand: Demand, nowMs: Long): Boolean =
         shutdown?.let { ShutdownAdmission.admits(demand, estimatesOf(demand.service), it, nowMs) } ?: true
 
-    private fun refusalAtShutdown(demand: Demand, nowMs: Long): Admission.Refused? {
-        val window = shutdown ?: return null
-        if (endsBeforeShutdown(demand, nowMs)) return null
-        val retryAfterMs =
-            if (ShutdownAdmission.isBalancerInformed(window, nowMs)) {
-                retryAfterPolicy.retryAfterMs(
-                    demand.deadlineAtMs - nowMs,
-                    (window.endsAtMs - nowMs).coerceAtLeast(0).toDouble(),
-                )
-            } else {
-                0
-            }
-        return Admission.Refused(ResultCode.DRAINING, retryAfterMs)
-    }
-
     /**
      * Chooses the upstream of [demand] among those that may serve it and are not in [tried]. Where upstreams limit
      * their requests, one that has not waited yet comes after those that wait.
@@ -367,9 +316,10 @@
         registry.find(upstreamId)?.let { pool.closeIdle(it.incarnation) }
     }
 
-    /** Logs a request that has ended, and no longer counts it as in flight. */
-    fun finished(record: ExchangeRecord, outcome: Outcome) {
+    /** Logs a request that has ended after [possibleRuns] runs, and no longer counts it as in flight. */
+    fun finished(record: ExchangeRecord, outcome: Outcome, possibleRuns: Int) {
         inFlight--
+        record.demand?.let { allowances.settle(it, possibleRuns) }
         log.finished(record, outcome, config?.version, configFreshness.confirmedAtMs, nowMs())
     }
 
@@ -382,12 +332,6 @@
     }
 
     private companion object {
-        /** A process that has just started has read its configuration within this time. */
-        const val RETRY_WITHOUT_CONFIG_MS = 300L
-
-        /** For a stale configuration: a new connection may reach a process whose configuration is fresh. */
-        const val RETRY_MS = 100L
-
         /** The answer to a release is not needed; it is awaited so that its connection can be used again. */
         const val CACHE_RELEASE_TIMEOUT_MS = 2_000L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/LoopUsage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/LoopUsage.kt
@@ -33,6 +33,7 @@
         if (processes > 0) onLoop { serving.retryBudgets.setProcessCount(processes) }
         onLoop { peer.onProcessesRead(counts.peers) }
         onLoop { serving.availability.share = share }
+        onLoop { serving.allowances.processesRead(counts.continuing) }
     }
 
     private fun <T : Any> onLoop(task: () -> T): T? =
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/DatagramPeers.kt
@@ -11,11 +11,15 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import org.medlarhook.core.routing.RendezvousHash
 import org.medlarhook.core.row.RowJson
+import org.medlarhook.core.serving.allowance.AllowanceUse
 import org.medlarhook.core.serving.fleet.Endpoint
 import org.medlarhook.core.serving.resume.BegunStream
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.warnEvent
+import org.medlarhook.serving.allowance.AllowancePeers
+import org.medlarhook.serving.allowance.AllowanceReport
+import org.medlarhook.serving.allowance.Allowances
 import org.medlarhook.serving.crash.CrashPeers
 import org.medlarhook.serving.crash.CrashReport
 import org.medlarhook.serving.crash.CrashedSuspect
@@ -38,6 +42,7 @@
  *
  * @param onLimit called with each limit that another process has told of.
  * @param crashes exchanges with the other processes what crashes upstreams.
+ * @param allowances exchanges with them what they use of allowances.
  */
 internal class DatagramPeers(
     private val loop: EventLoop,
@@ -46,7 +51,8 @@
     private val time: TimeSource,
     private val onLimit: (LimitReport) -> Unit,
     private val crashes: UpstreamCrashes,
-) : StreamPeers, LimitPeers, CrashPeers {
+    private val allowances: Allowances,
+) : StreamPeers, LimitPeers, CrashPeers, AllowancePeers {
     @Volatile
     private var channel: Channel? = null
     private var peers: List<InetSocketAddress> = emptyList()
@@ -85,6 +91,8 @@
         val crashed = CrashedSuspect("part", listOf(UpstreamCrash("engine", 0, 0)))
         val sample = PeerMessage.CrashesReported(CrashReport(listOf(crashed), listOf(SoundSuspect("part", 0))))
         RowJson.decode<PeerMessage>(RowJson.encode<PeerMessage>(sample))
+        val use = PeerMessage.AllowancesUsed(AllowanceReport("process", listOf(AllowanceUse("workspace"))))
+        RowJson.decode<PeerMessage>(RowJson.encode<PeerMessage>(use))
     }
 
     /** The address at which this process can be reached, or null if the socket could not be opened. */
@@ -110,6 +118,12 @@
 
     override fun tellSome(report: CrashReport) = sendInParts(report, peersAndNewcomers().shuffled().take(REPEATS))
 
+    override fun tell(report: AllowanceReport) {
+        val parts = report.uses.chunked(USES_PER_MESSAGE).map { report.copy(uses = it) }.ifEmpty { listOf(report) }
+        val receivers = peersAndNewcomers()
+        parts.forEach { send(PeerMessage.AllowancesUsed(it), receivers) }
+    }
+
     private fun peersAndNewcomers(): List<InetSocketAddress> =
         (peers + newcomers.at(time.monotonicMs())).distinct()
 
@@ -167,10 +181,14 @@
         open.onAnswer(recorded.distinct().singleOrNull())
     }
 
-    private fun send(message: PeerMessage, peer: InetSocketAddress) {
+    private fun send(message: PeerMessage, peer: InetSocketAddress) = send(message, listOf(peer))
+
+    private fun send(message: PeerMessage, receivers: List<InetSocketAddress>) {
+        val current = channel ?: return
         val bytes = Unpooled.copiedBuffer(RowJson.encode(message), Charsets.UTF_8)
-        val current = channel
-        if (current == null) bytes.release() else current.writeAndFlush(DatagramPacket(bytes, peer))
+        receivers.forEach { current.write(DatagramPacket(bytes.retainedDuplicate(), it)) }
+        bytes.release()
+        current.flush()
     }
 
     private fun received(message: PeerMessage, sender: InetSocketAddress) {
@@ -184,6 +202,10 @@
                 if (message.report.isQuestion) newcomers.greeted(sender, time.monotonicMs())
                 crashes.told(message.report)?.let { sendInParts(it, listOf(sender)) }
             }
+            is PeerMessage.AllowancesUsed -> {
+                if (sender !in peers) newcomers.greeted(sender, time.monotonicMs())
+                allowances.told(message.report)
+            }
         }
     }
 
@@ -230,6 +252,9 @@
         const val CRASHES_PER_MESSAGE = 14
         const val SOUND_PER_MESSAGE = 12
 
+        /** Keeps a datagram below the same size with names of workspaces as long as those of the platform. */
+        const val USES_PER_MESSAGE = 10
+
         /** Processes to which evidence of crashes is repeated each time. */
         const val REPEATS = 3
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/peer/PeerMessage.kt
@@ -4,9 +4,10 @@
 import kotlinx.serialization.Serializable
 import org.medlarhook.core.serving.fleet.RegistryPosition
 import org.medlarhook.core.serving.resume.BegunStream
+import org.medlarhook.serving.allowance.AllowanceReport
 import org.medlarhook.serving.crash.CrashReport
 
-/** What serving processes tell each other about streams, limits and crashes, one JSON document a datagram. */
+/** What serving processes tell each other about streams, limits, crashes and allowances, one JSON a datagram. */
 @Serializable
 internal sealed interface PeerMessage {
     /** Streams that have begun at the sender, or of which it was told. */
@@ -45,6 +46,13 @@
     data class CrashesReported(
         val report: CrashReport,
     ) : PeerMessage
+
+    /** What the sender has used of the allowances of workspaces. */
+    @Serializable
+    @SerialName("used")
+    data class AllowancesUsed(
+        val report: AllowanceReport,
+    ) : PeerMessage
 }
 
 /**
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingBounds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingBounds.kt
@@ -1,5 +1,7 @@
 package org.medlarhook.serving.process
 
+import org.medlarhook.core.serving.allowance.AllowanceBounds
+
 /**
  * The time limits and retry limits of a serving process. They are logged with their names when settings are reloaded.
  *
@@ -10,6 +12,7 @@
  * @property usageWindowMs the length of a usage window.
  * @property usageLateMs the time after the end of a usage window within which its report is due.
  * @property leaseMs the platform's bound on the lease of the usage reporter.
+ * @property allowance the tolerance for the use of workspaces' allowances.
  * @property shutdownMs how long a graceful shutdown may take.
  */
 public data class ServingBounds(
@@ -21,4 +24,5 @@
     val usageLateMs: Long,
     val leaseMs: Long,
     val shutdownMs: Long,
+    val allowance: AllowanceBounds = AllowanceBounds(),
 )
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -57,7 +57,15 @@
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
     private val peers = settings.peer?.let {
-        DatagramPeers(serving.loop, it, serving.origins, time, serving::limitReported, serving.crashes)
+        DatagramPeers(
+            serving.loop,
+            it,
+            serving.origins,
+            time,
+            serving::limitReported,
+            serving.crashes,
+            serving.allowances,
+        )
     }
     private val feeds = Feeds(ports.store, ports.era, serving, time)
     private val usageReporter =
@@ -103,6 +111,7 @@
                 serving.origins.peers = it
                 serving.availability.peers = it
                 serving.crashes.peers = it
+                serving.allowances.join(settings.process, it)
             }
         }
         status.start()
