Move the attempts of a request out of Exchange into classes of their own

Change: AttemptHistory counts where a request was sent and whether it may be sent again; Dispatch holds one placement with its permits; AttemptRecord holds what one attempt adds to the log line, so that attempts no longer write to the last one; OwnAnswers and CacheReleases take their functions unchanged. Attempts name themselves to the exchange. No change of behaviour is intended.

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -11,8 +11,10 @@
 /** One attempt of an exchange at an upstream: evaluates the answer's head and passes the body to the [Relay]. */
 internal class Attempt(
     private val exchange: Exchange,
-    private val relay: Relay,
+    val dispatch: Dispatch,
+    val relay: Relay,
     private val tracker: AttemptTracker,
+    val record: AttemptRecord,
 ) : AttemptListener {
     var handle: AttemptHandle? = null
     private var isAccounted = false
@@ -22,26 +24,27 @@
     private var bodyReads = 0
 
     override fun onSent(position: ConnectionPosition) {
-        exchange.attemptSent(position)
+        record.arrived(position)
+        exchange.attemptSent(this)
     }
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
         this.framing = framing
         tracker.headReceived(head)
-        exchange.headReceived(head, framing)
+        record.answered(head, framing)
         when {
             head.isNotRun || head.isMisdirected -> {
                 discardRest()
                 account { tracker.notRun(head) }
-                exchange.attemptNotRun(head.isMisdirected)
+                exchange.attemptNotRun(this, head.isMisdirected)
             }
             !relay.accepts(head) -> failNotContinued()
             head.isUnstampedSuccess || head.isEncoded -> failUnreadable()
             head.isUnfoundedPromise && !exchange.mayRunAgain -> failUnreadable()
             head.status >= FIRST_SERVER_ERROR -> {
                 tracker.runStarted()
-                if (exchange.retryOnServerError()) {
+                if (exchange.retryOnServerError(this)) {
                     discardRest()
                     account { tracker.ended(isSuccess = false) }
                 } else {
@@ -61,7 +64,7 @@
     private fun failNotContinued() {
         discardRest()
         account { tracker.failed(wasSent = true) }
-        exchange.attemptFailed(AttemptFailure.STREAM_NOT_CONTINUED, wasSent = true)
+        exchange.attemptFailed(this, AttemptFailure.STREAM_NOT_CONTINUED, wasSent = true)
     }
 
     private fun failUnreadable() {
@@ -69,7 +72,7 @@
         account { tracker.failed(wasSent = true) }
         handle?.abandon()
         relay.interrupted()
-        exchange.attemptFailed(AttemptFailure.UNREADABLE_ANSWER, wasSent = true)
+        exchange.attemptFailed(this, AttemptFailure.UNREADABLE_ANSWER, wasSent = true)
     }
 
     override fun onBody(bytes: ByteBuf) {
@@ -77,7 +80,7 @@
         bodyReads++
         tracker.runStarted()
         val isKept = relay.body(bytes)
-        if (relay.hasBegun) exchange.eventsDelivered()
+        if (relay.hasBegun) exchange.eventsDelivered(this)
         if (!isKept) return failUnreadable()
         if (head?.isStream == true) tracker.firstTokenReceived()
         handle?.setReading(relay.isCallerWritable)
@@ -91,7 +94,7 @@
         observeEnd(status)
         account { tracker.ended(isSuccess = status < FIRST_SERVER_ERROR) }
         relay.end()
-        exchange.answered(status)
+        exchange.answered(this, status)
     }
 
     /** A crash also ends an answer that ends with its connection; it happens as the answer begins. */
@@ -108,7 +111,7 @@
         if (reason.isBrokenOff && wasSent) exchange.connectionLost(tracker.upstream)
         account { if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent) }
         relay.interrupted()
-        exchange.attemptFailed(reason, wasSent)
+        exchange.attemptFailed(this, reason, wasSent)
     }
 
     override fun onAbandoned() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -1,6 +1,5 @@
 package org.medlarhook.serving.call
 
-import io.netty.buffer.Unpooled
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.serving.config.CallKind
 import org.medlarhook.core.serving.fleet.Upstream
@@ -10,9 +9,6 @@
 import org.medlarhook.serving.crash.CrashSubject
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
-import org.medlarhook.serving.upstream.BodyFraming
-import org.medlarhook.serving.upstream.ConnectionPosition
-import org.medlarhook.serving.upstream.RequestPermits
 import java.util.concurrent.Future
 
 /**
@@ -34,15 +30,9 @@
     private var handle: AttemptHandle? = null
     private var relay: Relay? = null
     private var deadline: Future<*>? = null
-    private val tried = LinkedHashSet<String>()
-    private var attemptsSent = 0
-    private var crashesMet = 0
-    private var possibleRuns = 0
-    private var mayHaveRun = false
+    private val history = AttemptHistory(serving)
     private var hasRunStarted = false
-    private var placed: Placement.Chosen? = null
-    private var placedAtMs = 0L
-    private lateinit var permits: RequestPermits
+    private var dispatch: Dispatch? = null
     private var isDone = false
     private val record = serving.nowMs().let { nowMs ->
         ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
@@ -52,6 +42,7 @@
     val mayRunAgain: Boolean get() = demand.route.mayRunAgain
 
     private val account = ArrivalAccount(serving.retryBudgets, record)
+    private val ownAnswers = OwnAnswers(serving.format, call, caller, record)
 
     /** Admits and places the request, or refuses it. */
     fun start() {
@@ -104,11 +95,11 @@
         val code =
             when {
                 relay?.hasBegun == true -> null
-                !mayHaveRun -> ResultCode.DRAINING
+                !history.mayHaveRun -> ResultCode.DRAINING
                 demand.route.mayRunAgain -> ResultCode.UPSTREAM_FAILED
                 else -> ResultCode.OUTCOME_UNKNOWN
             }
-        if (code == null) caller.abort() else answer(code, null)
+        if (code == null) caller.abort() else ownAnswers.answer(code, null)
         finish(Outcome.CutOffAtShutdown(code))
     }
 
@@ -120,7 +111,7 @@
     private fun place(hasWaited: Boolean = false) {
         val nowMs = serving.nowMs()
         serving.crashes.refusalOf(crashSubject)?.let { return refuseQuarantined(it, nowMs) }
-        when (val placement = serving.place(demand, tried, hasWaited, nowMs)) {
+        when (val placement = serving.place(demand, history.tried, hasWaited, nowMs)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
             is Placement.NoCapacity -> refuseIfNotRun(
                 ResultCode.DEADLINE_UNREACHABLE,
@@ -150,45 +141,46 @@
     /** Sends the request, or refuses it if that would be a retry and the budget has none left. */
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
         if (!account.pay(demand.service, isPrefill = chosen.prefill != null, nowMs)) return refuseRetry()
-        placed = chosen
-        placedAtMs = nowMs
-        permits = serving.newPermits(crashSubject)
+        val next = newDispatch(chosen, nowMs)
+        dispatch = next
+        if (chosen.prefill == null) send(next, AttemptStep.Whole, nowMs) else prefill(next, chosen.prefill!!, nowMs)
+    }
+
+    private fun newDispatch(chosen: Placement.Chosen, nowMs: Long): Dispatch {
+        val permits = serving.newPermits(crashSubject)
         listOfNotNull(chosen.prefill, chosen.upstream).forEach { permits.claim(it) }
-        if (chosen.prefill == null) send(chosen, AttemptStep.Whole, nowMs) else prefill(chosen, chosen.prefill!!, nowMs)
+        return Dispatch(chosen, nowMs, permits)
     }
 
     /**
      * Sends the prefill to [prefillUpstream]. It does not count as a run of the request. Later attempts send the
      * request whole, because a second prefill and its decode would be two retries.
      */
-    private fun prefill(chosen: Placement.Chosen, prefillUpstream: Upstream, nowMs: Long) {
-        tried += serving.prefillUpstreamIds(demand)
-        record.prefillSent(chosen, nowMs)
+    private fun prefill(dispatch: Dispatch, prefillUpstream: Upstream, nowMs: Long) {
+        val chosen = dispatch.chosen
+        history.exclude(serving.prefillUpstreamIds(demand))
+        val entry = record.prefillSent(chosen, nowMs)
         val request = serving.format.upstreamRequest(call, prefillUpstream, options(chosen, AttemptStep.Prefill, nowMs))
-        val attempt = PrefillAttempt(this, serving, demand, chosen, nowMs)
+        val attempt = PrefillAttempt(this, serving, demand, chosen, nowMs, entry)
+        val permits = dispatch.permits
         handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, permits, attempt)
     }
 
-    /** Records that the prefill was sent at [position]. */
-    fun prefillSent(position: ConnectionPosition) = record.arrived(position)
-
-    /** Records the head of an answer, whatever is concluded from it. */
-    fun headReceived(head: UpstreamHead, framing: BodyFraming) = record.answered(head, framing)
-
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
-    fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
+    fun prefillDone(attempt: PrefillAttempt, chosen: Placement.Chosen, cacheHandle: String) {
         account.prefillAccepted()
-        if (isDone) return serving.releaseCache(chosen.prefill!!, cacheHandle)
-        if (!permits.claim(chosen.upstream)) {
-            serving.releaseCache(chosen.prefill!!, cacheHandle)
-            return prefillFailed("decode_not_accepted")
+        val current = dispatch
+        if (isDone || current == null) return serving.cacheReleases.release(chosen.prefill!!, cacheHandle)
+        if (!current.permits.claim(chosen.upstream)) {
+            serving.cacheReleases.release(chosen.prefill!!, cacheHandle)
+            return prefillFailed(attempt, "decode_not_accepted")
         }
         val nowMs = serving.nowMs()
         if (!account.pay(demand.service, isPrefill = false, nowMs)) {
-            serving.releaseCache(chosen.prefill!!, cacheHandle)
+            serving.cacheReleases.release(chosen.prefill!!, cacheHandle)
             return refuseRetry()
         }
-        send(chosen, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), nowMs)
+        send(current, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), nowMs)
     }
 
     /** Abandons the attempt that runs, so that its upstream stops. */
@@ -197,8 +189,8 @@
     }
 
     /** Places the request again without a separate prefill, after the prefill has failed. */
-    fun prefillFailed(reason: String, wasSent: Boolean = true) {
-        record.failed(reason)
+    fun prefillFailed(attempt: PrefillAttempt, reason: String, wasSent: Boolean = true) {
+        attempt.record.failed(reason)
         if (!wasSent) account.notSent()
         if (isDone) return
         placeAgain()
@@ -215,17 +207,27 @@
         )
 
     /** Sends the request, or only its decode, to the chosen upstream. */
-    private fun send(chosen: Placement.Chosen, step: AttemptStep, nowMs: Long) {
-        tried += chosen.upstream.id
-        attemptsSent++
-        record.sent(chosen, nowMs)
-        val request = serving.format.upstreamRequest(call, chosen.upstream, options(chosen, step, nowMs))
+    private fun send(dispatch: Dispatch, step: AttemptStep, nowMs: Long) {
         val next = relay?.takeIf { it.hasBegun } ?: newRelay()
         relay = next
-        val tracker = AttemptTracker(serving, demand, chosen, nowMs, chosen.upstream) { runStarted() }
-        val attempt = Attempt(this, next, tracker)
-        handle = serving.pool.send(chosen.upstream, call.attemptId, request, demand.route.mayRunAgain, permits, attempt)
-        attempt.handle = handle
+        handle = send(newAttempt(dispatch, next, nowMs), step, nowMs)
+    }
+
+    private fun newAttempt(dispatch: Dispatch, relay: Relay, nowMs: Long): Attempt {
+        val chosen = dispatch.chosen
+        history.began(chosen.upstream)
+        val entry = record.sent(chosen, nowMs)
+        val tracker = AttemptTracker(serving, demand, chosen, nowMs, chosen.upstream) { runStarted(dispatch) }
+        return Attempt(this, dispatch, relay, tracker, entry)
+    }
+
+    private fun send(attempt: Attempt, step: AttemptStep, nowMs: Long): AttemptHandle {
+        val dispatch = attempt.dispatch
+        val upstream = dispatch.chosen.upstream
+        val request = serving.format.upstreamRequest(call, upstream, options(dispatch.chosen, step, nowMs))
+        val mayRunAgain = demand.route.mayRunAgain
+        return serving.pool.send(upstream, call.attemptId, request, mayRunAgain, dispatch.permits, attempt)
+            .also { attempt.handle = it }
     }
 
     private fun newRelay(): Relay {
@@ -233,46 +235,44 @@
         return Relay(serving.format, caller, serving.answerBuffers)
     }
 
-    /** Records that the request was sent at [position], so that the upstream may run it from now on. */
-    fun attemptSent(position: ConnectionPosition) {
-        record.arrived(position)
-        mayHaveRun = true
-        possibleRuns++
+    /** Records that [attempt] was sent, so that its upstream may run the request from now on. */
+    fun attemptSent(attempt: Attempt) {
+        history.sent()
     }
 
-    /** Records that an event has reached the caller: from now on only the same software version may go on. */
-    fun eventsDelivered() {
+    /** Records that an event of [attempt] has reached the caller: only the same software version may go on. */
+    fun eventsDelivered(attempt: Attempt) {
         if (demand.origin != StreamOrigin.NotBegun) return
-        demand = demand.copy(origin = StreamOrigin.of(placed?.upstream))
+        demand = demand.copy(origin = StreamOrigin.of(attempt.dispatch.chosen.upstream))
         serving.origins.began(call, demand, demand.origin)
     }
 
-    private fun runStarted() {
+    private fun runStarted(dispatch: Dispatch) {
         if (hasRunStarted) return
         hasRunStarted = true
         if (demand.generation != null) record.firstEventMs = serving.nowMs() - record.arrivedAtMs
-        recordPredictionError()
+        recordPredictionError(dispatch)
         serving.countRun(demand)
     }
 
-    private fun recordPredictionError() {
-        val chosen = placed?.takeIf { demand.generation != null } ?: return
-        serving.firstEventObserved(demand.service, chosen.firstEventMs, (serving.nowMs() - placedAtMs).toDouble())
+    private fun recordPredictionError(dispatch: Dispatch?) {
+        if (dispatch == null || demand.generation == null) return
+        val observedMs = (serving.nowMs() - dispatch.atMs).toDouble()
+        serving.firstEventObserved(demand.service, dispatch.chosen.firstEventMs, observedMs)
     }
 
     /** Retries the request after an upstream has stated that it has not run it, or refuses the request. */
-    fun attemptNotRun(isMisdirected: Boolean) {
-        possibleRuns--
-        mayHaveRun = possibleRuns > 0
-        record.failed("not_run")
+    fun attemptNotRun(attempt: Attempt, isMisdirected: Boolean) {
+        history.notRun()
+        attempt.record.failed("not_run")
         if (isDone) return
-        if (isMisdirected) serving.closeIdleConnections(tried.last())
+        if (isMisdirected) serving.closeIdleConnections(attempt.dispatch.chosen.upstream.id)
         retryOr { refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand)) }
     }
 
     /** Records that [upstream] closed the connection before its answer was complete. */
     fun connectionLost(upstream: Upstream) {
-        crashesMet++
+        history.crashed()
         record.fingerprint = crashSubject.request.id
         serving.crashes.connectionLost(crashSubject, upstream)
     }
@@ -281,12 +281,12 @@
     fun answerCompleted() = serving.crashes.answered(crashSubject)
 
     /** Handles an attempt without a complete answer: retries it if it was not sent or its route allows a second run. */
-    fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
-        record.failed(reason.name.lowercase())
+    fun attemptFailed(attempt: Attempt, reason: AttemptFailure, wasSent: Boolean) {
+        attempt.record.failed(reason.name.lowercase())
         if (!wasSent) account.notSent()
         if (isDone) return
         when {
-            !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
+            !wasSent && history.mayBeginAnother -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
             demand.route.mayRunAgain && relay?.canResume != false -> retryOr { failIncomplete() }
             else -> failIncomplete()
@@ -294,15 +294,15 @@
     }
 
     /** Retries an idempotent request after a server error; returns false if it may not be retried. */
-    fun retryOnServerError(): Boolean {
+    fun retryOnServerError(attempt: Attempt): Boolean {
         if (isDone || demand.route.kind != CallKind.IDEMPOTENT || !mayRetry()) return false
-        record.failed("upstream_error")
+        attempt.record.failed("upstream_error")
         place()
         return true
     }
 
-    /** Ends the exchange after the answer was delivered. */
-    fun answered(status: Int) = finish(Outcome.Answered(status))
+    /** Ends the exchange after the answer of [attempt] was delivered. */
+    fun answered(attempt: Attempt, status: Int) = finish(Outcome.Answered(status))
 
     private fun retryOr(onNoRetry: () -> Unit) {
         if (mayRetry()) place() else onNoRetry()
@@ -317,22 +317,13 @@
         }
     }
 
-    private fun mayRetry(): Boolean {
-        val nowMs = serving.nowMs()
-        return possibleRuns < demand.route.maxAttempts &&
-            attemptsSent < MAX_ATTEMPTS_SENT &&
-            demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
-            serving.endsBeforeShutdown(demand, nowMs) &&
-            !serving.crashes.forbidsRetry(crashSubject, crashesMet) &&
-            serving.hasUntriedUpstream(demand, tried, nowMs) &&
-            account.canPay(demand.service, nowMs)
-    }
+    private fun mayRetry(): Boolean = history.mayRetry(demand, crashSubject, account, serving.nowMs())
 
     private fun refuseRetry() = refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
 
     /** Refuses the request with [code] if no upstream can have begun it, or ends it as one that may have run. */
     private fun refuseIfNotRun(code: ResultCode, retryAfterMs: Long?) {
-        if (mayHaveRun || relay?.hasBegun == true) failIncomplete() else refuse(code, retryAfterMs)
+        if (history.mayHaveRun || relay?.hasBegun == true) failIncomplete() else refuse(code, retryAfterMs)
     }
 
     /** Ends a request that may have run and has no complete answer: aborts a begun stream, or answers with an error. */
@@ -348,27 +339,20 @@
     private fun onDeadline() {
         if (isDone) return
         handle?.abandon()
-        if (mayHaveRun) serving.closeIdleConnections(tried.last())
-        if (!hasRunStarted) recordPredictionError()
+        if (history.mayHaveRun) serving.closeIdleConnections(history.tried.last())
+        if (!hasRunStarted) recordPredictionError(dispatch)
         when {
             relay?.hasBegun == true -> failIncomplete()
-            mayHaveRun -> refuse(ResultCode.DEADLINE_EXCEEDED, null)
+            history.mayHaveRun -> refuse(ResultCode.DEADLINE_EXCEEDED, null)
             else -> refuse(ResultCode.DEADLINE_UNREACHABLE, 0)
         }
     }
 
     private fun refuse(code: ResultCode, retryAfterMs: Long?) {
-        answer(code, retryAfterMs)
+        ownAnswers.answer(code, retryAfterMs)
         finish(Outcome.Refused(code))
     }
 
-    private fun answer(code: ResultCode, retryAfterMs: Long?) {
-        val headers = serving.format.ownHeaders(call, retryAfterMs)
-        val text = Unpooled.copiedBuffer("${code.number} ${code.title}\n", Charsets.UTF_8)
-        record.retryAfterMs = retryAfterMs
-        caller.answer(code.httpStatus, headers, text)
-    }
-
     private fun finish(outcome: Outcome) {
         if (isDone) return
         isDone = true
@@ -389,12 +373,6 @@
     }
 
     private companion object {
-        /** Limits the upstreams to which one request is sent, including those that did not run it. */
-        const val MAX_ATTEMPTS_SENT = 4
-
         const val RETRY_ELSEWHERE_MS = 100L
-
-        /** With less time left, no upstream would answer a retry before the deadline. */
-        const val MIN_RETRY_MS = 50L
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -3,8 +3,6 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
-import org.medlarhook.serving.upstream.BodyFraming
-import org.medlarhook.serving.upstream.ConnectionPosition
 
 /**
  * Collects the fields of a request's log line.
@@ -27,8 +25,7 @@
     var isOrphaned = false
 
     /** Times that the request was sent to an upstream on an open connection, prefills included. */
-    var arrivals = 0
-        private set
+    val arrivals: Int get() = attempts.count { it.answerText != null }
 
     /** Retries that were withdrawn from the budget. */
     var retries = 0
@@ -38,55 +35,43 @@
 
     /** True if the budget had no retry left for the request. */
     var isRetryRefused = false
-    private val attempts = ArrayList<String>()
-    private val answers = ArrayList<String>()
+    private val attempts = ArrayList<AttemptRecord>()
     private var sentAtMs = 0L
 
     /**
      * Each attempt as `upstream@version+ms since arrival/predicted ms:cached prompt tokens`, with `<upstream` where the
      * prefix is fetched from another one, `(read)` after a prefill and `!reason` where it failed.
      */
-    val attemptsText: String get() = attempts.joinToString(" ")
+    val attemptsText: String get() = attempts.joinToString(" ") { it.text }
 
     /**
      * Each attempt that was sent as `connection.request`, with `=status/framing` if the head of an answer came back,
      * and `/no_id` if that returned no id; null if none was sent.
      */
-    val answersText: String? get() = answers.joinToString(" ").ifEmpty { null }
+    val answersText: String? get() = attempts.mapNotNull { it.answerText }.joinToString(" ").ifEmpty { null }
 
     /** The time from the request's arrival to its last attempt. */
     val waitedMs: Long get() = if (attempts.isEmpty()) 0 else sentAtMs - arrivedAtMs
 
-    fun sent(chosen: Placement.Chosen, nowMs: Long) {
-        sentAtMs = nowMs
+    /** Records an attempt that begins at [nowMs]. */
+    fun sent(chosen: Placement.Chosen, nowMs: Long): AttemptRecord {
         val source = if (chosen.prefill == null) sourceText(chosen) else ""
-        attempts +=
+        val text =
             "${textOf(chosen.upstream)}+${nowMs - arrivedAtMs}/${chosen.firstEventMs.toLong()}:" +
-            "${chosen.cachedTokens}$source"
-    }
-
-    fun prefillSent(chosen: Placement.Chosen, nowMs: Long) {
-        sentAtMs = nowMs
-        val text = "${chosen.prefill?.let {
-            textOf(it)
-        }}+${nowMs - arrivedAtMs}/${chosen.readyMs.toLong()}:${chosen.cachedTokens}"
-        attempts += "$text${sourceText(chosen)}(read)"
+                "${chosen.cachedTokens}$source"
+        return added(text, nowMs)
     }
 
-    fun failed(reason: String) {
-        if (attempts.isNotEmpty()) attempts[attempts.size - 1] += "!$reason"
+    /** Records a prefill that begins at [nowMs]. */
+    fun prefillSent(chosen: Placement.Chosen, nowMs: Long): AttemptRecord {
+        val prefillText = chosen.prefill?.let { textOf(it) }
+        val text = "$prefillText+${nowMs - arrivedAtMs}/${chosen.readyMs.toLong()}:${chosen.cachedTokens}"
+        return added("$text${sourceText(chosen)}(read)", nowMs)
     }
 
-    /** Records that an attempt was sent at [position]. */
-    fun arrived(position: ConnectionPosition) {
-        arrivals++
-        answers += "$position"
-    }
-
-    /** Records the head of the answer to the attempt that was sent last. */
-    fun answered(head: UpstreamHead, framing: BodyFraming) {
-        val missingId = if (head.attemptId == null) "/no_id" else ""
-        answers[answers.size - 1] += "=${head.status}/${framing.name.lowercase()}$missingId"
+    private fun added(text: String, nowMs: Long): AttemptRecord {
+        sentAtMs = nowMs
+        return AttemptRecord(text).also { attempts += it }
     }
 
     private fun textOf(upstream: Upstream): String = "${upstream.id}@${upstream.softwareVersion ?: "?"}"
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/PrefillAttempt.kt
@@ -17,19 +17,20 @@
     demand: Demand,
     private val chosen: Placement.Chosen,
     sentAtMs: Long,
+    val record: AttemptRecord,
 ) : AttemptListener {
     private val tracker = AttemptTracker(serving, demand, chosen, sentAtMs, chosen.prefill!!) {}
     private val body = Unpooled.buffer()
     private var head: UpstreamHead? = null
 
     override fun onSent(position: ConnectionPosition) {
-        exchange.prefillSent(position)
+        record.arrived(position)
     }
 
     override fun onHead(head: UpstreamHead, response: HttpResponse, framing: BodyFraming) {
         this.head = head
         tracker.headReceived(head)
-        exchange.headReceived(head, framing)
+        record.answered(head, framing)
     }
 
     override fun onBody(bytes: ByteBuf) {
@@ -37,7 +38,7 @@
             body.writeBytes(bytes)
         } else {
             exchange.abandonAttempt()
-            exchange.prefillFailed(AttemptFailure.UNREADABLE_ANSWER.name.lowercase())
+            exchange.prefillFailed(this, AttemptFailure.UNREADABLE_ANSWER.name.lowercase())
         }
     }
 
@@ -47,18 +48,18 @@
         if (cacheHandle == null) {
             val current = head
             if (current != null && current.isNotRun) tracker.notRun(current) else tracker.ended(isSuccess = false)
-            exchange.prefillFailed("prompt_refused")
+            exchange.prefillFailed(this, "prompt_refused")
         } else {
             tracker.firstTokenReceived()
             tracker.ended(isSuccess = true)
-            exchange.prefillDone(chosen, cacheHandle)
+            exchange.prefillDone(this, chosen, cacheHandle)
         }
     }
 
     override fun onFailure(reason: AttemptFailure, wasSent: Boolean) {
         body.release()
         if (reason == AttemptFailure.WORK_NOT_ACCEPTED) tracker.abandoned() else tracker.failed(wasSent = false)
-        exchange.prefillFailed(reason.name.lowercase(), wasSent)
+        exchange.prefillFailed(this, reason.name.lowercase(), wasSent)
     }
 
     override fun onAbandoned() {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -76,6 +76,8 @@
     /** The retries that this process may send. */
     val retryBudgets = RetryBudgets(bounds, log)
 
+    val cacheReleases = CacheReleases(this)
+
     /** The plain answers that are kept until they are whole. */
     val answerBuffers = AnswerBuffers()
 
@@ -342,15 +344,6 @@
     fun prefillUpstreamIds(demand: Demand): List<String> =
         registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL }.map { it.id }
 
-    /** Frees the cache that [upstream] keeps under [cacheHandle], or lets it expire if that takes no request now. */
-    fun releaseCache(upstream: Upstream, cacheHandle: String) {
-        val permits = RequestPermits(availability)
-        if (!permits.claim(upstream)) return
-        val request = format.cacheReleaseRequest(upstream, cacheHandle)
-        val release = pool.send(upstream, null, request, mayRunAgain = true, permits, NoOpAttemptListener())
-        schedule(nowMs() + CACHE_RELEASE_TIMEOUT_MS) { release.abandon() }
-    }
-
     /** Counts a request of [demand]'s workspace that has begun to run. */
     fun countRun(demand: Demand) {
         val workspace = demand.workspace ?: return
@@ -388,9 +381,6 @@
         /** For a stale configuration: a new connection may reach a process whose configuration is fresh. */
         const val RETRY_MS = 100L
 
-        /** The answer to a release is not needed; it is awaited so that its connection can be used again. */
-        const val CACHE_RELEASE_TIMEOUT_MS = 2_000L
-
         const val RETRY_WITHOUT_UPSTREAM_MS = 300.0
 
         /** About the time in which the full queue of an upstream has room again. */
