Send late requests that may run again to a second upstream, within a share of the work

`front` retried failures only. Change: core.serving.second decides from a service's recent times when a first answer is late, whether another upstream answers clearly sooner and has room, and which of two attempts ends after 300 ms; ExtraWork keeps the extra work within the operator's share (--second-attempt-share, off by default). AttemptRace runs the second attempt beside the first; the one that delivers first abandons the other in the same step. Half of the retry budget stays for retries after failures. HedgePolicy, which no process used, is removed; its assertions stand in SecondAttemptReplayTest and SecondAttemptTest.

--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -1,5 +1,6 @@
 package org.medlarhook.cli.command
 
+import arrow.core.left
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
@@ -21,12 +22,20 @@
 
     private val metricsPort by option(ArgType.Int, "metrics-port", description = "Additional port: metrics and state")
 
+    private val secondAttemptShare by option(
+        ArgType.Double,
+        "second-attempt-share",
+        description = "Work that second attempts of late requests may add, as a share from 0 (none) to 1",
+    ).default(0.0)
+
     override fun execute() {
         val result =
             when {
+                secondAttemptShare !in 0.0..1.0 ->
+                    "The second-attempt-share is $secondAttemptShare; it must be from 0 to 1".left()
                 check -> PlatformServing.check()
                 train -> PlatformServing.train()
-                else -> PlatformServing.run(metricsPort)
+                else -> PlatformServing.run(metricsPort, secondAttemptShare)
             }
         result.onLeft {
             System.err.println(it)
--- a/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/retry/WindowedRetryBudget.kt
@@ -25,13 +25,13 @@
     public fun withdraw(nowMs: Long): WindowedRetryBudget? =
         if (hasLeft(nowMs)) counted(nowMs) { it.copy(retries = it.retries + 1) } else null
 
-    /** True if the budget has a retry left at [nowMs]. */
-    public fun hasLeft(nowMs: Long): Boolean {
+    /** True if the budget has a retry left at [nowMs] beside [reservedShare] of it. */
+    public fun hasLeft(nowMs: Long, reservedShare: Double = 0.0): Boolean {
         val recent = recent(nowMs)
         val requests = recent.entries.sumOf { (bucket, counts) ->
             if (isInWindow(bucket, nowMs)) counts.requests else 0
         }
-        return recent.values.sumOf { it.retries } + 1 <= requests * ratio + slack
+        return recent.values.sumOf { it.retries } + 1 <= (requests * ratio + slack) * (1 - reservedShare)
     }
 
     /** Returns a retry that was withdrawn at [withdrawnAtMs] and not sent. */
--- a/core/src/test/kotlin/org/medlarhook/core/retry/OutlierEjectionTest.kt
+++ b/core/src/test/kotlin/org/medlarhook/core/retry/OutlierEjectionTest.kt
@@ -34,30 +34,4 @@
             assertTrue(ejection.health("u", 0).ejected)
         }
     }
-
-    @Nested
-    inner class Hedge {
-        private val late = HedgeInput(
-            idempotent = true,
-            sentAtMs = 0,
-            firstByteSeen = false,
-            typicalFirstByteMs = 300,
-            alternativeFinishMs = 900,
-            deadlineMs = 1_000,
-        )
-
-        private fun decide(input: HedgeInput, nowMs: Long = 300) =
-            HedgePolicy().decide(input, RetryBudget(), nowMs)
-
-        @Test
-        fun `Given a late first byte, then only an idempotent call that can finish in time elsewhere is hedged`() {
-            assertEquals(HedgeDecision.WAIT, decide(late, nowMs = 299))
-            assertEquals(HedgeDecision.SEND, decide(late))
-            assertEquals(HedgeDecision.NEVER, decide(late.copy(idempotent = false)))
-            assertEquals(HedgeDecision.NEVER, decide(late.copy(firstByteSeen = true)))
-            assertEquals(HedgeDecision.NEVER, decide(late.copy(alternativeFinishMs = 1_001)))
-            val empty = RetryBudget(balance = 0.5)
-            assertEquals(HedgeDecision.WAIT, HedgePolicy().decide(late, empty, nowMs = 300))
-        }
-    }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Attempt.kt
@@ -23,6 +23,9 @@
     private var framing = BodyFraming.LENGTH
     private var bodyReads = 0
 
+    /** True once a part of the answer is there: the head of a plain one, or the first event of a stream. */
+    val isAnswering: Boolean get() = relay.hasBegun || head?.isStream == false
+
     override fun onSent(position: ConnectionPosition) {
         record.arrived(position)
         exchange.attemptSent(this)
@@ -118,6 +121,15 @@
         account { tracker.abandoned() }
     }
 
+    /** Ends the attempt while another one serves the request; [isOutrun] if it was sent before that one. */
+    fun giveUp(isOutrun: Boolean) {
+        isDiscarding = true
+        account { if (isOutrun) tracker.outrun() else tracker.abandoned() }
+        record.failed(if (isOutrun) "outrun" else "given_up")
+        handle?.abandon()
+        relay.release()
+    }
+
     private fun account(update: () -> Unit) {
         if (isAccounted) return
         isAccounted = true
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -56,6 +56,7 @@
         if (!continuesCopy) {
             serving.updateEstimates(demand.service) { it.firstEvent(chosen, observedMs, upstream.stage) }
         }
+        if (!isPrefill && !continuesCopy) serving.secondAttempts.observed(demand, chosen, observedMs)
         update { load ->
             val started = load.ownAttempts[key]?.copy(hasFirstToken = true)
             load.copy(
@@ -92,6 +93,7 @@
         val observedMs = (nowMs - sentAtMs).toDouble()
         if (isSuccess && demand.generation == null) {
             serving.updateEstimates(demand.service) { it.answered(demand.route.name, observedMs) }
+            if (!hasFirstToken) serving.secondAttempts.observed(demand, chosen, observedMs)
         }
         update { load ->
             load.copy(
@@ -114,6 +116,22 @@
         update { it.copy(ownAttempts = it.ownAttempts.remove(key)) }
     }
 
+    /** Removes an attempt that is slower than a later one. It would have taken longer than it has taken so far. */
+    fun outrun() {
+        val elapsedMs = (serving.nowMs() - sentAtMs).toDouble()
+        serving.secondAttempts.observed(demand, chosen, elapsedMs)
+        if (demand.generation != null && elapsedMs > chosen.firstEventMs) {
+            serving.firstEventObserved(demand.service, chosen.firstEventMs, elapsedMs)
+        }
+        update { load ->
+            val isSlower = elapsedMs > predictedMs * load.speed.ratio
+            load.copy(
+                ownAttempts = load.ownAttempts.remove(key),
+                speed = if (isSlower) load.speed.observed(predictedMs, elapsedMs) else load.speed,
+            )
+        }
+    }
+
     private fun update(change: (UpstreamLoad) -> UpstreamLoad) = serving.updateLoad(incarnation, upstream.slots, change)
 
     private companion object {
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -7,6 +7,8 @@
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.resume.StreamOrigin
 import org.medlarhook.serving.crash.CrashSubject
+import org.medlarhook.serving.second.AttemptRace
+import org.medlarhook.serving.second.RacingExchange
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
 import java.util.concurrent.Future
@@ -24,10 +26,11 @@
     requestOnConnection: Int,
     private val arrivedAtMs: Long,
     private val onDone: () -> Unit,
-) {
+) : RacingExchange {
     private lateinit var demand: Demand
     private lateinit var crashSubject: CrashSubject
     private var handle: AttemptHandle? = null
+    private var leading: Attempt? = null
     private var relay: Relay? = null
     private var deadline: Future<*>? = null
     private val history = AttemptHistory(serving)
@@ -42,6 +45,8 @@
     val mayRunAgain: Boolean get() = demand.route.mayRunAgain
 
     private val account = ArrivalAccount(serving.retryBudgets, record)
+    private val sender = AttemptSender(serving, this, call, caller, history, record)
+    private val race = AttemptRace(serving, this, record)
     private val ownAnswers = OwnAnswers(serving.format, call, caller, record)
 
     /** Admits and places the request, or refuses it. */
@@ -113,10 +118,10 @@
         serving.crashes.refusalOf(crashSubject)?.let { return refuseQuarantined(it, nowMs) }
         when (val placement = serving.place(demand, history.tried, hasWaited, nowMs)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
-            is Placement.NoCapacity -> refuseIfNotRun(
-                ResultCode.DEADLINE_UNREACHABLE,
-                serving.retryAfterMs(demand, placement, nowMs),
-            )
+            is Placement.NoCapacity -> {
+                serving.secondAttempts.shed(demand.service, nowMs)
+                refuseIfNotRun(ResultCode.DEADLINE_UNREACHABLE, serving.retryAfterMs(demand, placement, nowMs))
+            }
             is Placement.AllClosed -> awaitReopening(placement, nowMs)
             is Placement.NoUpstream -> refuseIfNotRun(
                 ResultCode.NO_UPSTREAM,
@@ -141,29 +146,18 @@
     /** Sends the request, or refuses it if that would be a retry and the budget has none left. */
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
         if (!account.pay(demand.service, isPrefill = chosen.prefill != null, nowMs)) return refuseRetry()
-        val next = newDispatch(chosen, nowMs)
+        val next = sender.newDispatch(crashSubject, chosen, nowMs)
         dispatch = next
         if (chosen.prefill == null) send(next, AttemptStep.Whole, nowMs) else prefill(next, chosen.prefill!!, nowMs)
     }
 
-    private fun newDispatch(chosen: Placement.Chosen, nowMs: Long): Dispatch {
-        val permits = serving.newPermits(crashSubject)
-        listOfNotNull(chosen.prefill, chosen.upstream).forEach { permits.claim(it) }
-        return Dispatch(chosen, nowMs, permits)
-    }
-
     /**
      * Sends the prefill to [prefillUpstream]. It does not count as a run of the request. Later attempts send the
      * request whole, because a second prefill and its decode would be two retries.
      */
     private fun prefill(dispatch: Dispatch, prefillUpstream: Upstream, nowMs: Long) {
-        val chosen = dispatch.chosen
         history.exclude(serving.prefillUpstreamIds(demand))
-        val entry = record.prefillSent(chosen, nowMs)
-        val request = serving.format.upstreamRequest(call, prefillUpstream, options(chosen, AttemptStep.Prefill, nowMs))
-        val attempt = PrefillAttempt(this, serving, demand, chosen, nowMs, entry)
-        val permits = dispatch.permits
-        handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, permits, attempt)
+        handle = sender.sendPrefill(demand, dispatch, prefillUpstream, nowMs, relay?.lastEventId)
     }
 
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
@@ -196,52 +190,63 @@
         placeAgain()
     }
 
-    private fun options(chosen: Placement.Chosen, step: AttemptStep, nowMs: Long): AttemptOptions =
-        AttemptOptions(
-            remainingMs = (demand.deadlineAtMs - nowMs).coerceAtLeast(1),
-            workspace = demand.workspace,
-            priority = demand.priority.takeIf { demand.generation != null },
-            resumeAfterEventId = relay?.lastEventId,
-            step = step,
-            prefixSource = chosen.prefix?.source?.address.takeIf { step !is AttemptStep.Decode },
-        )
-
     /** Sends the request, or only its decode, to the chosen upstream. */
     private fun send(dispatch: Dispatch, step: AttemptStep, nowMs: Long) {
-        val next = relay?.takeIf { it.hasBegun } ?: newRelay()
+        val next = relay?.takeIf { it.hasBegun } ?: sender.newRelay().also { relay?.release() }
         relay = next
-        handle = send(newAttempt(dispatch, next, nowMs), step, nowMs)
+        serving.secondAttempts.sent(demand, dispatch.chosen, nowMs)
+        val attempt = sender.newAttempt(demand, dispatch, next, nowMs) { runStarted(dispatch) }
+        leading = attempt
+        handle = sender.send(demand, attempt, step, nowMs)
+    }
+
+    override val attemptId: String? get() = call.attemptId
+
+    /** Only a request that was sent once, and whole, has a second attempt; a stream that is resumed has none. */
+    override fun mayHaveSecond(attempt: Attempt): Boolean =
+        mayRunAgain &&
+            history.attempts == 1 &&
+            attempt.dispatch.chosen.prefill == null &&
+            call.lastEventId == null &&
+            demand.origin == StreamOrigin.NotBegun
+
+    override fun isWaitingFor(attempt: Attempt): Boolean = !isDone && leading === attempt && !attempt.isAnswering
+
+    override fun placeSecond(nowMs: Long): Placement? {
+        val isForbidden = serving.crashes.forbidsRetry(crashSubject, crashesMet = Int.MAX_VALUE)
+        if (isForbidden || serving.shutdown != null || !history.mayRunOnceMore(demand)) return null
+        return serving.place(demand, history.tried + serving.prefillUpstreamIds(demand), hasWaited = false, nowMs)
     }
 
-    private fun newAttempt(dispatch: Dispatch, relay: Relay, nowMs: Long): Attempt {
-        val chosen = dispatch.chosen
-        history.began(chosen.upstream)
-        val entry = record.sent(chosen, nowMs)
-        val tracker = AttemptTracker(serving, demand, chosen, nowMs, chosen.upstream) { runStarted(dispatch) }
-        return Attempt(this, dispatch, relay, tracker, entry)
+    override fun hasReserve(nowMs: Long): Boolean = serving.retryBudgets.hasReserve(demand.service, nowMs)
+
+    override fun newSecond(chosen: Placement.Chosen, nowMs: Long): Attempt? {
+        if (!account.pay(demand.service, isPrefill = false, nowMs)) return null
+        val dispatch = sender.newDispatch(crashSubject, chosen, nowMs)
+        return sender.newAttempt(demand, dispatch, sender.newRelay(), nowMs) { runStarted(dispatch) }
     }
 
-    private fun send(attempt: Attempt, step: AttemptStep, nowMs: Long): AttemptHandle {
-        val dispatch = attempt.dispatch
-        val upstream = dispatch.chosen.upstream
-        val request = serving.format.upstreamRequest(call, upstream, options(dispatch.chosen, step, nowMs))
-        val mayRunAgain = demand.route.mayRunAgain
-        return serving.pool.send(upstream, call.attemptId, request, mayRunAgain, dispatch.permits, attempt)
-            .also { attempt.handle = it }
+    override fun transmit(attempt: Attempt, nowMs: Long) {
+        sender.send(demand, attempt, AttemptStep.Whole, nowMs)
     }
 
-    private fun newRelay(): Relay {
+    override fun lead(attempt: Attempt) {
         relay?.release()
-        return Relay(serving.format, caller, serving.answerBuffers)
+        relay = attempt.relay
+        handle = attempt.handle
+        dispatch = attempt.dispatch
+        leading = attempt
     }
 
     /** Records that [attempt] was sent, so that its upstream may run the request from now on. */
     fun attemptSent(attempt: Attempt) {
         history.sent()
+        race.sent(attempt, demand)
     }
 
     /** Records that an event of [attempt] has reached the caller: only the same software version may go on. */
     fun eventsDelivered(attempt: Attempt) {
+        race.delivers(attempt)
         if (demand.origin != StreamOrigin.NotBegun) return
         demand = demand.copy(origin = StreamOrigin.of(attempt.dispatch.chosen.upstream))
         serving.origins.began(call, demand, demand.origin)
@@ -265,8 +270,10 @@
     fun attemptNotRun(attempt: Attempt, isMisdirected: Boolean) {
         history.notRun()
         attempt.record.failed("not_run")
+        serving.secondAttempts.shed(demand.service, serving.nowMs())
         if (isDone) return
         if (isMisdirected) serving.closeIdleConnections(attempt.dispatch.chosen.upstream.id)
+        if (race.goesOnWithout(attempt)) return
         retryOr { refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand)) }
     }
 
@@ -284,7 +291,7 @@
     fun attemptFailed(attempt: Attempt, reason: AttemptFailure, wasSent: Boolean) {
         attempt.record.failed(reason.name.lowercase())
         if (!wasSent) account.notSent()
-        if (isDone) return
+        if (isDone || race.goesOnWithout(attempt)) return
         when {
             !wasSent && history.mayBeginAnother -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
@@ -295,14 +302,19 @@
 
     /** Retries an idempotent request after a server error; returns false if it may not be retried. */
     fun retryOnServerError(attempt: Attempt): Boolean {
-        if (isDone || demand.route.kind != CallKind.IDEMPOTENT || !mayRetry()) return false
+        val isRetried = !isDone && demand.route.kind == CallKind.IDEMPOTENT
+        val goesOn = race.goesOnWithout(attempt)
+        if (!goesOn && !(isRetried && mayRetry())) return false
         attempt.record.failed("upstream_error")
-        place()
+        if (!goesOn) place()
         return true
     }
 
     /** Ends the exchange after the answer of [attempt] was delivered. */
-    fun answered(attempt: Attempt, status: Int) = finish(Outcome.Answered(status))
+    fun answered(attempt: Attempt, status: Int) {
+        race.delivers(attempt)
+        finish(Outcome.Answered(status))
+    }
 
     private fun retryOr(onNoRetry: () -> Unit) {
         if (mayRetry()) place() else onNoRetry()
@@ -357,6 +369,7 @@
         if (isDone) return
         isDone = true
         deadline?.cancel(false)
+        race.end(outcome, leading)
         if (record.isOrphaned) endOrphanAtDeadline() else relay?.release()
         call.body.release()
         serving.finished(record, outcome)
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
+import org.medlarhook.serving.second.RaceOutcome
 
 /**
  * Collects the fields of a request's log line.
@@ -35,6 +36,9 @@
 
     /** True if the budget had no retry left for the request. */
     var isRetryRefused = false
+
+    /** Which of two attempts answered, or null if no second one was sent beside the first. */
+    var second: RaceOutcome? = null
     private val attempts = ArrayList<AttemptRecord>()
     private var sentAtMs = 0L
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -10,6 +10,7 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.crash.CrashLog
+import org.medlarhook.serving.second.SecondAttemptLog
 import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -33,6 +34,9 @@
     /** Logs the answers of upstreams that reach no request. */
     val answers = AnswerLog(registry, isQuiet)
 
+    /** Logs and counts second attempts. */
+    val seconds = SecondAttemptLog(registry, isQuiet)
+
     fun finished(
         record: ExchangeRecord,
         outcome: Outcome,
@@ -62,6 +66,7 @@
                 "arrivals" to record.arrivals,
                 "retries" to record.retries.takeIf { it > 0 },
                 "retryRefused" to record.isRetryRefused.takeIf { it },
+                "second" to record.second?.label,
                 "retryAfterMs" to record.retryAfterMs,
                 "resumes" to record.call.resumedAttemptId,
                 "lastEventId" to record.call.lastEventId,
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RetryBudgets.kt
@@ -43,6 +43,9 @@
     fun allows(service: String, nowMs: Long): Boolean =
         budgetOf(service).hasLeft(nowMs).also { if (!it) log.retry(RetryOutcome.REFUSED) }
 
+    /** True if the budget of [service] has more left than its reserve for retries after failures. */
+    fun hasReserve(service: String, nowMs: Long): Boolean = budgetOf(service).hasLeft(nowMs, RESERVED_SHARE)
+
     /** Returns a retry to the budget of [service] that was withdrawn at [withdrawnAtMs] and not sent. */
     fun putBack(service: String, withdrawnAtMs: Long) {
         budgets[service] = budgetOf(service).returned(withdrawnAtMs)
@@ -61,5 +64,8 @@
     private companion object {
         /** Processes that start at once don't know of one another yet, and must not each use the whole slack. */
         const val ASSUMED_PROCESSES = 16
+
+        /** A late answer still comes, a failed one does not: retries after failures keep half of the budget. */
+        const val RESERVED_SHARE = 0.5
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -33,6 +33,7 @@
 import org.medlarhook.serving.crash.UpstreamCrashes
 import org.medlarhook.serving.peer.LimitReport
 import org.medlarhook.serving.process.ServingBounds
+import org.medlarhook.serving.second.SecondAttempts
 import org.medlarhook.serving.upstream.RequestPermits
 import org.medlarhook.serving.upstream.UpstreamAvailability
 import org.medlarhook.serving.upstream.UpstreamPool
@@ -77,6 +78,7 @@
     val retryBudgets = RetryBudgets(bounds, log)
 
     val cacheReleases = CacheReleases(this)
+    val secondAttempts = SecondAttempts(this, log.seconds)
 
     /** The plain answers that are kept until they are whole. */
     val answerBuffers = AnswerBuffers()
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -54,6 +54,7 @@
     private val time = ports.time
     private val serving =
         ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
+            .also { it.secondAttempts.share = settings.secondAttemptShare }
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
     private val peers = settings.peer?.let {
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
@@ -16,6 +16,7 @@
  * @property peer the address on which other serving processes reach this one, or null if they don't.
  * @property metricsPort a second port for [status], which stays the same when the platform changes the first, or null.
  * @property readinessPath the path of the readiness check.
+ * @property secondAttemptShare the share of a service's work that second attempts may add, or 0 for none.
  */
 public data class ServingSettings(
     val process: String,
@@ -27,6 +28,7 @@
     val bounds: ServingBounds,
     val peer: Endpoint? = null,
     val metricsPort: Int? = null,
+    val secondAttemptShare: Double = 0.0,
 ) {
     /** Creates the placer for the data centre of this process. */
     internal fun placer(): Placer = AffinityPlacer(FirstEventPredictor(Distances(dataCentre, regionByDataCentre)))
