--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -1,6 +1,5 @@
 package org.medlarhook.serving.call
 
-import io.netty.buffer.Unpooled
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.core.serving.config.CallKind
 import org.medlarhook.core.serving.fleet.Upstream
@@ -8,11 +7,10 @@
 import org.medlarhook.core.serving.place.Placement
 import org.medlarhook.core.serving.resume.StreamOrigin
 import org.medlarhook.serving.crash.CrashSubject
+import org.medlarhook.serving.second.AttemptRace
+import org.medlarhook.serving.second.RacingExchange
 import org.medlarhook.serving.upstream.AttemptFailure
 import org.medlarhook.serving.upstream.AttemptHandle
-import org.medlarhook.serving.upstream.BodyFraming
-import org.medlarhook.serving.upstream.ConnectionPosition
-import org.medlarhook.serving.upstream.RequestPermits
 import java.util.concurrent.Future
 
 /**
@@ -28,21 +26,16 @@
     requestOnConnection: Int,
     private val arrivedAtMs: Long,
     private val onDone: () -> Unit,
-) {
+) : RacingExchange {
     private lateinit var demand: Demand
     private lateinit var crashSubject: CrashSubject
     private var handle: AttemptHandle? = null
+    private var leading: Attempt? = null
     private var relay: Relay? = null
     private var deadline: Future<*>? = null
-    private val tried = LinkedHashSet<String>()
-    private var attemptsSent = 0
-    private var crashesMet = 0
-    private var possibleRuns = 0
-    private var mayHaveRun = false
+    private val history = AttemptHistory(serving)
     private var hasRunStarted = false
-    private var placed: Placement.Chosen? = null
-    private var placedAtMs = 0L
-    private lateinit var permits: RequestPermits
+    private var dispatch: Dispatch? = null
     private var isDone = false
     private val record = serving.nowMs().let { nowMs ->
         ExchangeRecord(call, nowMs, requestOnConnection, serving.shutdown?.let { nowMs - it.startedAtMs })
@@ -52,6 +45,9 @@
     val mayRunAgain: Boolean get() = demand.route.mayRunAgain
 
     private val account = ArrivalAccount(serving.retryBudgets, record)
+    private val sender = AttemptSender(serving, this, call, caller, history, record)
+    private val race = AttemptRace(serving, this, record)
+    private val ownAnswers = OwnAnswers(serving.format, call, caller, record)
 
     /** Admits and places the request, or refuses it. */
     fun start() {
@@ -104,11 +100,11 @@
         val code =
             when {
                 relay?.hasBegun == true -> null
-                !mayHaveRun -> ResultCode.DRAINING
+                !history.mayHaveRun -> ResultCode.DRAINING
                 demand.route.mayRunAgain -> ResultCode.UPSTREAM_FAILED
                 else -> ResultCode.OUTCOME_UNKNOWN
             }
-        if (code == null) caller.abort() else answer(code, null)
+        if (code == null) caller.abort() else ownAnswers.answer(code, null)
         finish(Outcome.CutOffAtShutdown(code))
     }
 
@@ -120,12 +116,12 @@
     private fun place(hasWaited: Boolean = false) {
         val nowMs = serving.nowMs()
         serving.crashes.refusalOf(crashSubject)?.let { return refuseQuarantined(it, nowMs) }
-        when (val placement = serving.place(demand, tried, hasWaited, nowMs)) {
+        when (val placement = serving.place(demand, history.tried, hasWaited, nowMs)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
-            is Placement.NoCapacity -> refuseIfNotRun(
-                ResultCode.DEADLINE_UNREACHABLE,
-                serving.retryAfterMs(demand, placement, nowMs),
-            )
+            is Placement.NoCapacity -> {
+                serving.secondAttempts.shed(demand.service, nowMs)
+                refuseIfNotRun(ResultCode.DEADLINE_UNREACHABLE, serving.retryAfterMs(demand, placement, nowMs))
+            }
             is Placement.AllClosed -> awaitReopening(placement, nowMs)
             is Placement.NoUpstream -> refuseIfNotRun(
                 ResultCode.NO_UPSTREAM,
@@ -150,45 +146,35 @@
     /** Sends the request, or refuses it if that would be a retry and the budget has none left. */
     private fun dispatch(chosen: Placement.Chosen, nowMs: Long) {
         if (!account.pay(demand.service, isPrefill = chosen.prefill != null, nowMs)) return refuseRetry()
-        placed = chosen
-        placedAtMs = nowMs
-        permits = serving.newPermits(crashSubject)
-        listOfNotNull(chosen.prefill, chosen.upstream).forEach { permits.claim(it) }
-        if (chosen.prefill == null) send(chosen, AttemptStep.Whole, nowMs) else prefill(chosen, chosen.prefill!!, nowMs)
+        val next = sender.newDispatch(crashSubject, chosen, nowMs)
+        dispatch = next
+        if (chosen.prefill == null) send(next, AttemptStep.Whole, nowMs) else prefill(next, chosen.prefill!!, nowMs)
     }
 
     /**
      * Sends the prefill to [prefillUpstream]. It does not count as a run of the request. Later attempts send the
      * request whole, because a second prefill and its decode would be two retries.
      */
-    private fun prefill(chosen: Placement.Chosen, prefillUpstream: Upstream, nowMs: Long) {
-        tried += serving.prefillUpstreamIds(demand)
-        record.prefillSent(chosen, nowMs)
-        val request = serving.format.upstreamRequest(call, prefillUpstream, options(chosen, AttemptStep.Prefill, nowMs))
-        val attempt = PrefillAttempt(this, serving, demand, chosen, nowMs)
-        handle = serving.pool.send(prefillUpstream, call.attemptId, request, mayRunAgain = true, permits, attempt)
+    private fun prefill(dispatch: Dispatch, prefillUpstream: Upstream, nowMs: Long) {
+        history.exclude(serving.prefillUpstreamIds(demand))
+        handle = sender.sendPrefill(demand, dispatch, prefillUpstream, nowMs, relay?.lastEventId)
     }
 
-    /** Records that the prefill was sent at [position]. */
-    fun prefillSent(position: ConnectionPosition) = record.arrived(position)
-
-    /** Records the head of an answer, whatever is concluded from it. */
-    fun headReceived(head: UpstreamHead, framing: BodyFraming) = record.answered(head, framing)
-
     /** Starts the decode, after a prefill whose cache is kept under [cacheHandle]. */
-    fun prefillDone(chosen: Placement.Chosen, cacheHandle: String) {
+    fun prefillDone(attempt: PrefillAttempt, chosen: Placement.Chosen, cacheHandle: String) {
         account.prefillAccepted()
-        if (isDone) return serving.releaseCache(chosen.prefill!!, cacheHandle)
-        if (!permits.claim(chosen.upstream)) {
-            serving.releaseCache(chosen.prefill!!, cacheHandle)
-            return prefillFailed("decode_not_accepted")
+        val current = dispatch
+        if (isDone || current == null) return serving.cacheReleases.release(chosen.prefill!!, cacheHandle)
+        if (!current.permits.claim(chosen.upstream)) {
+            serving.cacheReleases.release(chosen.prefill!!, cacheHandle)
+            return prefillFailed(attempt, "decode_not_accepted")
         }
         val nowMs = serving.nowMs()
         if (!account.pay(demand.service, isPrefill = false, nowMs)) {
-            serving.releaseCache(chosen.prefill!!, cacheHandle)
+            serving.cacheReleases.release(chosen.prefill!!, cacheHandle)
             return refuseRetry()
         }
-        send(chosen, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), nowMs)
+        send(current, AttemptStep.Decode(chosen.prefill!!.address, cacheHandle), nowMs)
     }
 
     /** Abandons the attempt that runs, so that its upstream stops. */
@@ -197,82 +183,103 @@
     }
 
     /** Places the request again without a separate prefill, after the prefill has failed. */
-    fun prefillFailed(reason: String, wasSent: Boolean = true) {
-        record.failed(reason)
+    fun prefillFailed(attempt: PrefillAttempt, reason: String, wasSent: Boolean = true) {
+        attempt.record.failed(reason)
         if (!wasSent) account.notSent()
         if (isDone) return
         placeAgain()
     }
 
-    private fun options(chosen: Placement.Chosen, step: AttemptStep, nowMs: Long): AttemptOptions =
-        AttemptOptions(
-            remainingMs = (demand.deadlineAtMs - nowMs).coerceAtLeast(1),
-            workspace = demand.workspace,
-            priority = demand.priority.takeIf { demand.generation != null },
-            resumeAfterEventId = relay?.lastEventId,
-            step = step,
-            prefixSource = chosen.prefix?.source?.address.takeIf { step !is AttemptStep.Decode },
-        )
-
     /** Sends the request, or only its decode, to the chosen upstream. */
-    private fun send(chosen: Placement.Chosen, step: AttemptStep, nowMs: Long) {
-        tried += chosen.upstream.id
-        attemptsSent++
-        record.sent(chosen, nowMs)
-        val request = serving.format.upstreamRequest(call, chosen.upstream, options(chosen, step, nowMs))
-        val next = relay?.takeIf { it.hasBegun } ?: newRelay()
+    private fun send(dispatch: Dispatch, step: AttemptStep, nowMs: Long) {
+        val next = relay?.takeIf { it.hasBegun } ?: sender.newRelay().also { relay?.release() }
         relay = next
-        val tracker = AttemptTracker(serving, demand, chosen, nowMs, chosen.upstream) { runStarted() }
-        val attempt = Attempt(this, next, tracker)
-        handle = serving.pool.send(chosen.upstream, call.attemptId, request, demand.route.mayRunAgain, permits, attempt)
-        attempt.handle = handle
+        serving.secondAttempts.sent(demand, dispatch.chosen, nowMs)
+        val attempt = sender.newAttempt(demand, dispatch, next, nowMs) { runStarted(dispatch) }
+        leading = attempt
+        handle = sender.send(demand, attempt, step, nowMs)
+    }
+
+    override val attemptId: String? get() = call.attemptId
+
+    /** Only a request that was sent once, and whole, has a second attempt; a stream that is resumed has none. */
+    override fun mayHaveSecond(attempt: Attempt): Boolean =
+        mayRunAgain &&
+            history.attempts == 1 &&
+            attempt.dispatch.chosen.prefill == null &&
+            call.lastEventId == null &&
+            demand.origin == StreamOrigin.NotBegun
+
+    override fun isWaitingFor(attempt: Attempt): Boolean = !isDone && leading === attempt && !attempt.isAnswering
+
+    override fun placeSecond(nowMs: Long): Placement? {
+        val isForbidden = serving.crashes.forbidsRetry(crashSubject, crashesMet = Int.MAX_VALUE)
+        if (isForbidden || serving.shutdown != null || !history.mayRunOnceMore(demand)) return null
+        return serving.place(demand, history.tried + serving.prefillUpstreamIds(demand), hasWaited = false, nowMs)
+    }
+
+    override fun hasReserve(nowMs: Long): Boolean = serving.retryBudgets.hasReserve(demand.service, nowMs)
+
+    override fun newSecond(chosen: Placement.Chosen, nowMs: Long): Attempt? {
+        if (!account.pay(demand.service, isPrefill = false, nowMs)) return null
+        val dispatch = sender.newDispatch(crashSubject, chosen, nowMs)
+        return sender.newAttempt(demand, dispatch, sender.newRelay(), nowMs) { runStarted(dispatch) }
+    }
+
+    override fun transmit(attempt: Attempt, nowMs: Long) {
+        sender.send(demand, attempt, AttemptStep.Whole, nowMs)
     }
 
-    private fun newRelay(): Relay {
+    override fun lead(attempt: Attempt) {
         relay?.release()
-        return Relay(serving.format, caller, serving.answerBuffers)
+        relay = attempt.relay
+        handle = attempt.handle
+        dispatch = attempt.dispatch
+        leading = attempt
     }
 
-    /** Records that the request was sent at [position], so that the upstream may run it from now on. */
-    fun attemptSent(position: ConnectionPosition) {
-        record.arrived(position)
-        mayHaveRun = true
-        possibleRuns++
+    /** Records that [attempt] was sent, so that its upstream may run the request from now on. */
+    fun attemptSent(attempt: Attempt) {
+        history.sent()
+        race.sent(attempt, demand)
     }
 
-    /** Records that an event has reached the caller: from now on only the same software version may go on. */
-    fun eventsDelivered() {
+    /** Records that an event of [attempt] has reached the caller: only the same software version may go on. */
+    fun eventsDelivered(attempt: Attempt) {
+        race.delivers(attempt)
         if (demand.origin != StreamOrigin.NotBegun) return
-        demand = demand.copy(origin = StreamOrigin.of(placed?.upstream))
+        demand = demand.copy(origin = StreamOrigin.of(attempt.dispatch.chosen.upstream))
         serving.origins.began(call, demand, demand.origin)
     }
 
-    private fun runStarted() {
+    private fun runStarted(dispatch: Dispatch) {
         if (hasRunStarted) return
         hasRunStarted = true
         if (demand.generation != null) record.firstEventMs = serving.nowMs() - record.arrivedAtMs
-        recordPredictionError()
+        recordPredictionError(dispatch)
         serving.countRun(demand)
     }
 
-    private fun recordPredictionError() {
-        val chosen = placed?.takeIf { demand.generation != null } ?: return
-        serving.firstEventObserved(demand.service, chosen.firstEventMs, (serving.nowMs() - placedAtMs).toDouble())
+    private fun recordPredictionError(dispatch: Dispatch?) {
+        if (dispatch == null || demand.generation == null) return
+        val observedMs = (serving.nowMs() - dispatch.atMs).toDouble()
+        serving.firstEventObserved(demand.service, dispatch.chosen.firstEventMs, observedMs)
     }
 
     /** Retries the request after an upstream has stated that it has not run it, or refuses the request. */
-    fun attemptNotRun(isMisdirected: Boolean) {
-        possibleRuns--
-        mayHaveRun = possibleRuns > 0
-        record.failed("not_run")
+    fun attemptNotRun(attempt: Attempt, isMisdirected: Boolean) {
+        history.notRun()
+        attempt.record.failed("not_run")
+        serving.secondAttempts.shed(demand.service, serving.nowMs())
         if (isDone) return
-        if (isMisdirected) serving.closeIdleConnections(tried.last())
+        if (isMisdirected) serving.closeIdleConnections(attempt.dispatch.chosen.upstream.id)
+        if (race.goesOnWithout(attempt)) return
         retryOr { refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand)) }
     }
 
     /** Records that [upstream] closed the connection before its answer was complete. */
     fun connectionLost(upstream: Upstream) {
-        crashesMet++
+        history.crashed()
         record.fingerprint = crashSubject.request.id
         serving.crashes.connectionLost(crashSubject, upstream)
     }
@@ -281,12 +288,12 @@
     fun answerCompleted() = serving.crashes.answered(crashSubject)
 
     /** Handles an attempt without a complete answer: retries it if it was not sent or its route allows a second run. */
-    fun attemptFailed(reason: AttemptFailure, wasSent: Boolean) {
-        record.failed(reason.name.lowercase())
+    fun attemptFailed(attempt: Attempt, reason: AttemptFailure, wasSent: Boolean) {
+        attempt.record.failed(reason.name.lowercase())
         if (!wasSent) account.notSent()
-        if (isDone) return
+        if (isDone || race.goesOnWithout(attempt)) return
         when {
-            !wasSent && attemptsSent < MAX_ATTEMPTS_SENT -> placeAgain()
+            !wasSent && history.mayBeginAnother -> placeAgain()
             !wasSent -> refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
             demand.route.mayRunAgain && relay?.canResume != false -> retryOr { failIncomplete() }
             else -> failIncomplete()
@@ -294,15 +301,20 @@
     }
 
     /** Retries an idempotent request after a server error; returns false if it may not be retried. */
-    fun retryOnServerError(): Boolean {
-        if (isDone || demand.route.kind != CallKind.IDEMPOTENT || !mayRetry()) return false
-        record.failed("upstream_error")
-        place()
+    fun retryOnServerError(attempt: Attempt): Boolean {
+        val isRetried = !isDone && demand.route.kind == CallKind.IDEMPOTENT
+        val goesOn = race.goesOnWithout(attempt)
+        if (!goesOn && !(isRetried && mayRetry())) return false
+        attempt.record.failed("upstream_error")
+        if (!goesOn) place()
         return true
     }
 
-    /** Ends the exchange after the answer was delivered. */
-    fun answered(status: Int) = finish(Outcome.Answered(status))
+    /** Ends the exchange after the answer of [attempt] was delivered. */
+    fun answered(attempt: Attempt, status: Int) {
+        race.delivers(attempt)
+        finish(Outcome.Answered(status))
+    }
 
     private fun retryOr(onNoRetry: () -> Unit) {
         if (mayRetry()) place() else onNoRetry()
@@ -317,22 +329,13 @@
         }
     }
 
-    private fun mayRetry(): Boolean {
-        val nowMs = serving.nowMs()
-        return possibleRuns < demand.route.maxAttempts &&
-            attemptsSent < MAX_ATTEMPTS_SENT &&
-            demand.deadlineAtMs - nowMs > MIN_RETRY_MS &&
-            serving.endsBeforeShutdown(demand, nowMs) &&
-            !serving.crashes.forbidsRetry(crashSubject, crashesMet) &&
-            serving.hasUntriedUpstream(demand, tried, nowMs) &&
-            account.canPay(demand.service, nowMs)
-    }
+    private fun mayRetry(): Boolean = history.mayRetry(demand, crashSubject, account, serving.nowMs())
 
     private fun refuseRetry() = refuseIfNotRun(ResultCode.NO_UPSTREAM, serving.busyRetryAfterMs(demand))
 
     /** Refuses the request with [code] if no upstream can have begun it, or ends it as one that may have run. */
     private fun refuseIfNotRun(code: ResultCode, retryAfterMs: Long?) {
-        if (mayHaveRun || relay?.hasBegun == true) failIncomplete() else refuse(code, retryAfterMs)
+        if (history.mayHaveRun || relay?.hasBegun == true) failIncomplete() else refuse(code, retryAfterMs)
     }
 
     /** Ends a request that may have run and has no complete answer: aborts a begun stream, or answers with an error. */
@@ -348,34 +351,28 @@
     private fun onDeadline() {
         if (isDone) return
         handle?.abandon()
-        if (mayHaveRun) serving.closeIdleConnections(tried.last())
-        if (!hasRunStarted) recordPredictionError()
+        if (history.mayHaveRun) serving.closeIdleConnections(history.tried.last())
+        if (!hasRunStarted) recordPredictionError(dispatch)
         when {
             relay?.hasBegun == true -> failIncomplete()
-            mayHaveRun -> refuse(ResultCode.DEADLINE_EXCEEDED, null)
+            history.mayHaveRun -> refuse(ResultCode.DEADLINE_EXCEEDED, null)
             else -> refuse(ResultCode.DEADLINE_UNREACHABLE, 0)
         }
     }
 
     private fun refuse(code: ResultCode, retryAfterMs: Long?) {
-        answer(code, retryAfterMs)
+        ownAnswers.answer(code, retryAfterMs)
         finish(Outcome.Refused(code))
     }
 
-    private fun answer(code: ResultCode, retryAfterMs: Long?) {
-        val headers = serving.format.ownHeaders(call, retryAfterMs)
-        val text = Unpooled.copiedBuffer("${code.number} ${code.title}\n", Charsets.UTF_8)
-        record.retryAfterMs = retryAfterMs
-        caller.answer(code.httpStatus, headers, text)
-    }
-
     private fun finish(outcome: Outcome) {
         if (isDone) return
         isDone = true
         deadline?.cancel(false)
+        race.end(outcome, leading)
         if (record.isOrphaned) endOrphanAtDeadline() else relay?.release()
         call.body.release()
-        serving.finished(record, outcome, possibleRuns)
+        serving.finished(record, outcome, history.possibleRuns)
         onDone()
     }
 
@@ -389,12 +386,6 @@
     }
 
     private companion object {
-        /** Limits the upstreams to which one request is sent, including those that did not run it. */
-        const val MAX_ATTEMPTS_SENT = 4
-
         const val RETRY_ELSEWHERE_MS = 100L
-
-        /** With less time left, no upstream would answer a retry before the deadline. */
-        const val MIN_RETRY_MS = 50L
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -12,6 +12,7 @@
 import org.medlarhook.serving.allowance.AllowanceLog
 import org.medlarhook.serving.crash.CrashLog
 import org.medlarhook.serving.process.LogThrottle
+import org.medlarhook.serving.second.SecondAttemptLog
 import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -39,6 +40,9 @@
     /** Logs the answers of upstreams that reach no request. */
     val answers = AnswerLog(registry, isQuiet)
 
+    /** Logs and counts second attempts. */
+    val seconds = SecondAttemptLog(registry, isQuiet)
+
     fun finished(
         record: ExchangeRecord,
         outcome: Outcome,
@@ -68,6 +72,7 @@
                 "arrivals" to record.arrivals,
                 "retries" to record.retries.takeIf { it > 0 },
                 "retryRefused" to record.isRetryRefused.takeIf { it },
+                "second" to record.second?.label,
                 "retryAfterMs" to record.retryAfterMs,
                 "resumes" to record.call.resumedAttemptId,
                 "lastEventId" to record.call.lastEventId,
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -27,6 +27,7 @@
 import org.medlarhook.serving.crash.UpstreamCrashes
 import org.medlarhook.serving.peer.LimitReport
 import org.medlarhook.serving.process.ServingBounds
+import org.medlarhook.serving.second.SecondAttempts
 import org.medlarhook.serving.upstream.RequestPermits
 import org.medlarhook.serving.upstream.UpstreamAvailability
 import org.medlarhook.serving.upstream.UpstreamPool
@@ -73,6 +74,8 @@
     /** What the workspaces may use. */
     val allowances = Allowances(bounds.allowance, time, random, log.allowances)
     private val admission = RequestAdmission(this, random, retryAfterPolicy)
+    val cacheReleases = CacheReleases(this)
+    val secondAttempts = SecondAttempts(this, log.seconds)
 
     /** The plain answers that are kept until they are whole. */
     val answerBuffers = AnswerBuffers()
@@ -291,15 +294,6 @@
     fun prefillUpstreamIds(demand: Demand): List<String> =
         registry.serving(demand.service).filter { it.stage == EngineStage.PREFILL }.map { it.id }
 
-    /** Frees the cache that [upstream] keeps under [cacheHandle], or lets it expire if that takes no request now. */
-    fun releaseCache(upstream: Upstream, cacheHandle: String) {
-        val permits = RequestPermits(availability)
-        if (!permits.claim(upstream)) return
-        val request = format.cacheReleaseRequest(upstream, cacheHandle)
-        val release = pool.send(upstream, null, request, mayRunAgain = true, permits, NoOpAttemptListener())
-        schedule(nowMs() + CACHE_RELEASE_TIMEOUT_MS) { release.abandon() }
-    }
-
     /** Counts a request of [demand]'s workspace that has begun to run. */
     fun countRun(demand: Demand) {
         val workspace = demand.workspace ?: return
@@ -332,9 +326,6 @@
     }
 
     private companion object {
-        /** The answer to a release is not needed; it is awaited so that its connection can be used again. */
-        const val CACHE_RELEASE_TIMEOUT_MS = 2_000L
-
         const val RETRY_WITHOUT_UPSTREAM_MS = 300.0
 
         /** About the time in which the full queue of an upstream has room again. */
