Admit fairly by workspace while room is short

Cause: at the role front neither workspace nor priority decides anything; under load above the capacity, room goes to whoever asks most often. No request was refused while an upstream had a free place.

--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -5,6 +5,7 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import org.medlarhook.cli.ExitCode
+import org.medlarhook.core.serving.fair.FairAdmissionMode
 import org.medlarhook.platform.PlatformServing
 import kotlin.system.exitProcess
 
@@ -21,12 +22,18 @@
 
     private val metricsPort by option(ArgType.Int, "metrics-port", description = "Additional port: metrics and state")
 
+    private val fairAdmission by option(
+        ArgType.Choice<FairAdmissionMode>(),
+        "fair-admission",
+        description = "Where admission is fair by workspace; auto: at services whose upstreams share their machines",
+    ).default(FairAdmissionMode.AUTO)
+
     override fun execute() {
         val result =
             when {
                 check -> PlatformServing.check()
                 train -> PlatformServing.train()
-                else -> PlatformServing.run(metricsPort)
+                else -> PlatformServing.run(metricsPort, fairAdmission)
             }
         result.onLeft {
             System.err.println(it)
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/AffinityPlacer.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/AffinityPlacer.kt
@@ -14,7 +14,8 @@
  *
  * A new request is admitted if its first event is predicted within the objective, or if its upstream has a free place.
  * A client retry is also admitted if its first event is predicted somewhat later than the objective, by the share in
- * [FirstEventAdmission], so that no caller is refused repeatedly while new requests are served.
+ * [FirstEventAdmission], so that no caller is refused repeatedly while new requests are served. A request whose
+ * workspace has a standing is refused only if no upstream has a free place.
  */
 public class AffinityPlacer(
     private val predictor: FirstEventPredictor,
@@ -34,10 +35,22 @@
             .ifEmpty { untried.filter { it.stage != EngineStage.PREFILL } }
         if (decodeUpstreams.isEmpty()) return Placement.NoUpstream
         val prefillUpstreams = healthy.filter { it.stage == EngineStage.PREFILL }
-        val best =
-            predictor.options(demand, decodeUpstreams, prefillUpstreams, loads, estimates, nowMs).minBy { it.scoreMs }
-        val correctedMs = best.chosen.firstEventMs * maxOf(1.0, estimates.error.ratio)
+        val options = predictor.options(demand, decodeUpstreams, prefillUpstreams, loads, estimates, nowMs)
+        val best = options.minBy { it.scoreMs }
+        val errorRatio = maxOf(1.0, estimates.error.ratio)
+        val correctedMs = best.chosen.firstEventMs * errorRatio
         val admits = admission.admits(demand, correctedMs, best.hasFreePlace, nowMs)
-        return if (admits) best.chosen else Placement.NoCapacity(admission.admissibleInMs(demand, correctedMs, nowMs))
+        if (admits) return best.chosen
+        if (demand.standing != null) {
+            options
+                .filter {
+                    it.hasFreePlace && admission.admits(demand, it.chosen.firstEventMs * errorRatio, true, nowMs)
+                }
+                .minByOrNull { it.scoreMs }
+                ?.let { return it.chosen }
+        }
+        val refused = best.chosen.copy(firstEventMs = correctedMs)
+        val shortage = Shortage(refused, admission.limitMs(demand, nowMs), demand.standing)
+        return Placement.NoCapacity(admission.admissibleInMs(demand, correctedMs, nowMs), shortage)
     }
 }
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Demand.kt
@@ -2,6 +2,7 @@
 
 import org.medlarhook.core.serving.config.EngineSpec
 import org.medlarhook.core.serving.config.Route
+import org.medlarhook.core.serving.fair.WorkspaceStanding
 import org.medlarhook.core.serving.load.GenerationWork
 import org.medlarhook.core.serving.resume.StreamOrigin
 
@@ -16,6 +17,7 @@
  * @property priority 0 is the most urgent.
  * @property engine the capacity of the service's engines, or null for a plain service.
  * @property origin where its stream has begun, which limits the upstreams that may go on with it.
+ * @property standing that of its workspace at the service, or null where admission does not depend on it.
  */
 public data class Demand(
     val route: Route,
@@ -27,6 +29,7 @@
     val priority: Int,
     val engine: EngineSpec? = null,
     val origin: StreamOrigin = StreamOrigin.NotBegun,
+    val standing: WorkspaceStanding? = null,
 ) {
     /**
      * True if the caller retries after a refusal, which shows in a deadline clearly shorter than the route's time-out.
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventAdmission.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventAdmission.kt
@@ -4,7 +4,8 @@
  * Admits requests by their predicted time to the first event.
  *
  * Designed for load above the capacity of the engines: a queue that takes longer than the objective makes every answer
- * late, whereas shedding at once keeps the admitted requests in time.
+ * late, whereas shedding at once keeps the admitted requests in time. Where demands have a standing, a workspace above
+ * its fair share is admitted up to a lower predicted time, so that the room that is left goes to the others.
  *
  * @param newRequestShare the share of the objective within which the first event of a new request must be predicted.
  * @param clientRetryShare the same for a client retry.
@@ -15,12 +16,23 @@
 ) {
     /** Returns true if [demand], with its first event predicted [firstEventMs] after [nowMs], is admitted. */
     public fun admits(demand: Demand, firstEventMs: Double, hasFreePlace: Boolean, nowMs: Long): Boolean {
-        val remainingMs = demand.deadlineAtMs - nowMs
-        if (firstEventMs > remainingMs) return false
-        if (demand.generation == null || hasFreePlace) return true
-        if (firstEventMs <= remainingMs * ACCEPTABLE_WAIT_SHARE) return true
-        return firstEventMs <=
-            demand.route.objectiveMs * if (demand.isClientRetry) clientRetryShare else newRequestShare
+        if (firstEventMs > demand.deadlineAtMs - nowMs) return false
+        return hasFreePlace || firstEventMs <= limitMs(demand, nowMs)
+    }
+
+    /** The predicted time to the first event up to which [demand] is admitted at an upstream without a free place. */
+    public fun limitMs(demand: Demand, nowMs: Long): Double {
+        val remainingMs = (demand.deadlineAtMs - nowMs).toDouble()
+        val factor = demand.standing?.objectiveFactor ?: 1.0
+        val objectiveMs = demand.route.objectiveMs.toDouble()
+        if (demand.generation == null) {
+            return if (demand.standing?.isAboveShare == true) minOf(objectiveMs, remainingMs) else remainingMs
+        }
+        val share = if (demand.isClientRetry) clientRetryShare else newRequestShare
+        val usualMs = maxOf(remainingMs * ACCEPTABLE_WAIT_SHARE, objectiveMs * share)
+        val limitMs =
+            if (factor <= 1) usualMs * factor else maxOf(usualMs, objectiveMs * minOf(1.0, newRequestShare * factor))
+        return minOf(limitMs, remainingMs)
     }
 
     /** The time after which [demand] would be admitted if the queued work drains and no more arrives. */
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/Placement.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/Placement.kt
@@ -43,9 +43,13 @@
         val roundTripMs: Double,
     )
 
-    /** No upstream can answer in time; the request is expected to be admissible after [admissibleInMs]. */
+    /**
+     * No upstream can answer in time; the request is expected to be admissible after [admissibleInMs]. [shortage] tells
+     * why, or is null if the upstreams themselves refused it.
+     */
     public data class NoCapacity(
         val admissibleInMs: Double,
+        val shortage: Shortage? = null,
     ) : Placement
 
     /** All upstreams that the request could go to are closed; the first one opens after [opensInMs]. */
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -77,6 +77,8 @@
     QUARANTINED_REQUEST_REFUSED(628, "Requests refused because upstreams crash under them"),
     ANSWER_DISCARDED(629, "Answer discarded: no request waits for it"),
     ANSWER_UNREADABLE(630, "Answer could not be read; its connection is closed"),
+    REFUSED_ABOVE_SHARE(638, "Requests refused: their workspace is above its fair share while room is short"),
+    REFUSED_WITHIN_SHARE(639, "Requests refused although their workspace is within its fair share: room is short"),
     BACKGROUND_STEP_FAILED(701, "Background work failed; it is tried again after a pause"),
     BACKGROUND_STEP_RECOVERED(702, "Background work succeeds again"),
     STORE_ERA_MALFORMED(703, "The platform's store named a malformed era; its answers count as of era 0"),
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/Exchange.kt
@@ -120,7 +120,7 @@
     private fun place(hasWaited: Boolean = false) {
         val nowMs = serving.nowMs()
         serving.crashes.refusalOf(crashSubject)?.let { return refuseQuarantined(it, nowMs) }
-        when (val placement = serving.place(demand, tried, hasWaited, nowMs)) {
+        when (val placement = serving.place(demand, tried, hasWaited, nowMs).also(record::placed)) {
             is Placement.Chosen -> dispatch(placement, nowMs)
             is Placement.NoCapacity -> refuseIfNotRun(
                 ResultCode.DEADLINE_UNREACHABLE,
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
+import org.medlarhook.core.serving.place.Shortage
 import org.medlarhook.serving.upstream.BodyFraming
 import org.medlarhook.serving.upstream.ConnectionPosition
 
@@ -38,6 +39,10 @@
 
     /** True if the budget had no retry left for the request. */
     var isRetryRefused = false
+
+    /** Why the request was not admitted when it was placed last, or null if it was. */
+    var shortage: Shortage? = null
+        private set
     private val attempts = ArrayList<String>()
     private val answers = ArrayList<String>()
     private var sentAtMs = 0L
@@ -57,6 +62,10 @@
     /** The time from the request's arrival to its last attempt. */
     val waitedMs: Long get() = if (attempts.isEmpty()) 0 else sentAtMs - arrivedAtMs
 
+    fun placed(placement: Placement) {
+        shortage = (placement as? Placement.NoCapacity)?.shortage
+    }
+
     fun sent(chosen: Placement.Chosen, nowMs: Long) {
         sentAtMs = nowMs
         val source = if (chosen.prefill == null) sourceText(chosen) else ""
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -10,6 +10,7 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.crash.CrashLog
+import org.medlarhook.serving.fair.FairAdmissionLog
 import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
@@ -71,7 +72,7 @@
                 "outputTokens" to demand?.generation?.outputTokens,
                 "parts" to demand?.generation?.parts?.joinToString(",") { "${it.id}:${it.tokens}" },
                 "maxTokens" to demand?.generation?.maxOutputTokens,
-            )
+            ) + FairAdmissionLog.fields(demand, record.shortage)
         if (isQuiet) return
         if (outcome is Outcome.Answered) {
             logger.event(LogEvent.REQUEST_FINISHED, fields)
--- a/serving/src/main/kotlin/org/medlarhook/serving/duty/LoopUsage.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/duty/LoopUsage.kt
@@ -11,10 +11,15 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** Reaches the request path by tasks of its event loop, and waits for each of them up to [LOOP_TIMEOUT_MS]. */
+/**
+ * Reaches the request path by tasks of its event loop, and waits for each of them up to [LOOP_TIMEOUT_MS].
+ *
+ * @param onCountsRead receives the counts of all processes on the event loop.
+ */
 internal class LoopUsage(
     private val serving: ServingLoop,
     private val peer: ReportedPeer,
+    private val onCountsRead: (WindowCounts) -> Unit = {},
 ) : RequestUsage {
     override fun read(): UsageWindows? = onLoop { serving.usage }
 
@@ -33,6 +38,7 @@
         if (processes > 0) onLoop { serving.retryBudgets.setProcessCount(processes) }
         onLoop { peer.onProcessesRead(counts.peers) }
         onLoop { serving.availability.share = share }
+        onLoop { onCountsRead(counts) }
     }
 
     private fun <T : Any> onLoop(task: () -> T): T? =
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import io.netty.channel.nio.NioEventLoopGroup
+import org.medlarhook.core.serving.fair.ToldCounts
 import org.medlarhook.core.serving.load.LoopObservation
 import org.medlarhook.core.serving.shutdown.ShutdownWindow
 import org.medlarhook.ports.TableService
@@ -23,6 +24,8 @@
 import org.medlarhook.serving.duty.StoreClock
 import org.medlarhook.serving.duty.UsageReporter
 import org.medlarhook.serving.duty.WindowReporting
+import org.medlarhook.serving.fair.FairAdmissionLog
+import org.medlarhook.serving.fair.FairPlacer
 import org.medlarhook.serving.http.CallerConnections
 import org.medlarhook.serving.http.CallerListener
 import org.medlarhook.serving.peer.DatagramPeers
@@ -52,8 +55,8 @@
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val group = NioEventLoopGroup(1)
     private val time = ports.time
-    private val serving =
-        ServingLoop(group.next(), ports.format, time, settings.bounds, settings.placer(), RequestLog(meters))
+    private val placer = FairPlacer(settings.placer(), settings.fairAdmission, FairAdmissionLog(meters))
+    private val serving = ServingLoop(group.next(), ports.format, time, settings.bounds, placer, RequestLog(meters))
     private val callerConnections = CallerConnections(serving)
     private val callers = CallerListener(group, serving, callerConnections)
     private val peers = settings.peer?.let {
@@ -63,7 +66,9 @@
     private val usageReporter =
         UsageReporter(
             settings.process,
-            LoopUsage(serving, ReportedPeer({ peers?.boundAddress }) { addresses -> peers?.update(addresses) }),
+            LoopUsage(serving, ReportedPeer({ peers?.boundAddress }) { addresses -> peers?.update(addresses) }) {
+                placer.told = ToldCounts.of(it, settings.process, settings.bounds.usageWindowMs, serving.nowMs())
+            },
             ports.tables,
             ports.clock,
             ports.reporting,
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingSettings.kt
@@ -1,6 +1,7 @@
 package org.medlarhook.serving.process
 
 import kotlinx.collections.immutable.ImmutableMap
+import org.medlarhook.core.serving.fair.FairAdmissionMode
 import org.medlarhook.core.serving.fleet.Endpoint
 import org.medlarhook.core.serving.place.AffinityPlacer
 import org.medlarhook.core.serving.place.Distances
@@ -15,6 +16,7 @@
  * @property status the address on which readiness, metrics and the state dump are served.
  * @property peer the address on which other serving processes reach this one, or null if they don't.
  * @property metricsPort a second port for [status], which stays the same when the platform changes the first, or null.
+ * @property fairAdmission at which services admission is fair by workspace.
  * @property readinessPath the path of the readiness check.
  */
 public data class ServingSettings(
@@ -27,6 +29,7 @@
     val bounds: ServingBounds,
     val peer: Endpoint? = null,
     val metricsPort: Int? = null,
+    val fairAdmission: FairAdmissionMode = FairAdmissionMode.AUTO,
 ) {
     /** Creates the placer for the data centre of this process. */
     internal fun placer(): Placer = AffinityPlacer(FirstEventPredictor(Distances(dataCentre, regionByDataCentre)))
