--- a/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
+++ b/cli/src/main/kotlin/org/medlarhook/cli/command/FrontCommand.kt
@@ -6,6 +6,8 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import org.medlarhook.cli.ExitCode
+import org.medlarhook.core.serving.fair.FairAdmissionMode
+import org.medlarhook.platform.FrontOptions
 import org.medlarhook.platform.PlatformServing
 import kotlin.system.exitProcess
 
@@ -28,6 +30,12 @@
         description = "Work that second attempts of late requests may add, as a share from 0 (none) to 1",
     ).default(0.0)
 
+    private val fairAdmission by option(
+        ArgType.Choice<FairAdmissionMode>(),
+        "fair-admission",
+        description = "Where admission is fair by workspace; auto: at services whose upstreams share their machines",
+    ).default(FairAdmissionMode.AUTO)
+
     override fun execute() {
         val result =
             when {
@@ -35,7 +43,7 @@
                     "The second-attempt-share is $secondAttemptShare; it must be from 0 to 1".left()
                 check -> PlatformServing.check()
                 train -> PlatformServing.train()
-                else -> PlatformServing.run(metricsPort, secondAttemptShare)
+                else -> PlatformServing.run(FrontOptions(metricsPort, secondAttemptShare, fairAdmission))
             }
         result.onLeft {
             System.err.println(it)
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -82,6 +82,8 @@
     ALLOWANCE_SHARES_POOLED(633, "All other processes are heard; the allowances follow demand"),
     ALLOWANCES_IN_FORCE(634, "Allowances of workspaces in force"),
     LOAD_REPORT_MALFORMED(635, "Upstream sent a malformed load report; that report is ignored"),
+    REFUSED_ABOVE_SHARE(638, "Requests refused: their workspace is above its fair share while room is short"),
+    REFUSED_WITHIN_SHARE(639, "Requests refused although their workspace is within its fair share: room is short"),
     SECOND_ATTEMPT_SENT(641, "First answer is late; the request is sent to a second upstream"),
     SECOND_ATTEMPTS_LIMITED(642, "Late requests get no second attempt: a limit is reached"),
     SECOND_ATTEMPTS_ALLOWED(643, "Late requests that may run again get second attempts, within a share of the work"),
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ExchangeRecord.kt
@@ -3,6 +3,7 @@
 import org.medlarhook.core.serving.fleet.Upstream
 import org.medlarhook.core.serving.place.Demand
 import org.medlarhook.core.serving.place.Placement
+import org.medlarhook.core.serving.place.Shortage
 import org.medlarhook.serving.second.RaceOutcome
 
 /**
@@ -39,6 +40,10 @@
 
     /** Which of two attempts answered, or null if no second one was sent beside the first. */
     var second: RaceOutcome? = null
+
+    /** Why the request was not admitted when it was placed last, or null if it was. */
+    var shortage: Shortage? = null
+        private set
     private val attempts = ArrayList<AttemptRecord>()
     private var sentAtMs = 0L
 
@@ -57,6 +62,11 @@
     /** The time from the request's arrival to its last attempt. */
     val waitedMs: Long get() = if (attempts.isEmpty()) 0 else sentAtMs - arrivedAtMs
 
+    /** Records where the request was placed, or why it was not. */
+    fun placed(placement: Placement) {
+        shortage = (placement as? Placement.NoCapacity)?.shortage
+    }
+
     /** Records an attempt that begins at [nowMs]. */
     fun sent(chosen: Placement.Chosen, nowMs: Long): AttemptRecord {
         val source = if (chosen.prefill == null) sourceText(chosen) else ""
