--- a/serving/src/main/kotlin/org/medlarhook/serving/second/SecondAttempts.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/second/SecondAttempts.kt
@@ -61,8 +61,8 @@
 
     /** Requests of one class look alike to this process, so that a slow one is slow by its upstream. */
     private fun classOf(demand: Demand, chosen: Placement.Chosen): RequestClass {
-        val size = demand.generation?.let { it.promptTokens - chosen.cachedTokens } ?: 0
-        return RequestClass.of(demand.service, demand.route.name, size)
+        val tokens = demand.generation?.let { it.promptTokens - chosen.cachedTokens } ?: 0
+        return RequestClass.of(demand.service, demand.route.name, tokens)
     }
 
     /** The request that waits for the answer of [attempt]. */
