Keep output in the account until it is written, and end slow callers before others lack room

Cause: an answer left the account of AnswerBuffers when it was handed to its caller's connection, so that slow callers could take any amount of memory, and a stream whose caller did not read kept its upstream waiting until the deadline.

Change: SlowReaders (core) decides which connections end, UnwrittenOutput keeps the bytes of each connection until they are written, CallerOutput ends a connection that keeps an upstream waiting for 2 s. Events 644 and 645. Requests' bodies are in no account yet: see docs/design/pressure.md.

--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -77,6 +77,8 @@
     QUARANTINED_REQUEST_REFUSED(628, "Requests refused because upstreams crash under them"),
     ANSWER_DISCARDED(629, "Answer discarded: no request waits for it"),
     ANSWER_UNREADABLE(630, "Answer could not be read; its connection is closed"),
+    SLOW_CALLER_ENDED(644, "Caller that reads slowly was ended, to make room for other answers"),
+    STALLED_CALLER_ENDED(645, "Stream ended: its caller does not read, and its upstream would cut it off"),
     BACKGROUND_STEP_FAILED(701, "Background work failed; it is tried again after a pause"),
     BACKGROUND_STEP_RECOVERED(702, "Background work succeeds again"),
     STORE_ERA_MALFORMED(703, "The platform's store named a malformed era; its answers count as of era 0"),
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AnswerBuffers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AnswerBuffers.kt
@@ -5,13 +5,17 @@
 
 /**
  * Limits the memory of answers and events that are kept until they are whole, over all requests and for each of them,
- * so that upstreams that send without end can't exhaust the process's memory. Used on the event loop only.
+ * so that upstreams that send without end can't exhaust the process's memory. What was handed to callers' connections
+ * and is not written yet takes part of the same memory; slow callers make room first. Used on the event loop only.
  *
  * @param maxBytes the greatest number of bytes kept in all.
  */
 internal class AnswerBuffers(
     private val maxBytes: Long = minOf(MAX_KEPT_BYTES, Runtime.getRuntime().maxMemory() / HEAP_PARTS),
 ) {
+    /** What callers' connections have not written yet. */
+    val unwritten = UnwrittenOutput(maxBytes)
+
     /** The memory that all buffers take. */
     var keptBytes = 0L
         private set
@@ -45,7 +49,8 @@
                     bytes.alloc().calculateNewCapacity(sizeBytes, bytes.maxCapacity()).toLong()
                 }
             val addedBytes = neededBytes - reservedBytes
-            if (neededBytes > SMALL_BYTES && keptBytes + addedBytes > maxBytes) return false
+            if (addedBytes > 0) unwritten.makeRoom(keptBytes + addedBytes)
+            if (neededBytes > SMALL_BYTES && keptBytes + unwritten.bytes + addedBytes > maxBytes) return false
             keptBytes += addedBytes
             reservedBytes = neededBytes
             return true
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -24,6 +24,7 @@
 import org.medlarhook.core.result.ResultCode
 import org.medlarhook.serving.call.Caller
 import org.medlarhook.serving.call.Exchange
+import org.medlarhook.serving.call.OutputHolder
 import org.medlarhook.serving.call.ServingLoop
 import java.util.concurrent.Future
 
@@ -37,8 +38,10 @@
     private val serving: ServingLoop,
     private val connections: CallerConnections,
 ) : ChannelInboundHandlerAdapter(),
-    Caller {
+    Caller,
+    OutputHolder {
     private lateinit var context: ChannelHandlerContext
+    private lateinit var output: CallerOutput
     private val pipelined = ArrayDeque<Any>()
     private var request: HttpRequest? = null
     private var body: CompositeByteBuf? = null
@@ -58,6 +61,7 @@
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
+        output = CallerOutput(serving.answerBuffers.unwritten, ctx.channel(), this) { exchange != null }
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
@@ -176,7 +180,7 @@
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body)
         response.headers().set(headers)
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes())
-        write(response, isLast = true)
+        write(response, body.readableBytes(), isLast = true)
     }
 
     /**
@@ -187,11 +191,11 @@
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().set(headers)
         if (isChunkless) isKeepAlive = false else HttpUtil.setTransferEncodingChunked(response, true)
-        write(response, isLast = false)
+        write(response, 0, isLast = false)
     }
 
     override fun stream(events: ByteBuf) {
-        context.writeAndFlush(DefaultHttpContent(events))
+        output.account(events.readableBytes()) { context.writeAndFlush(DefaultHttpContent(events)) }
     }
 
     override fun endStream() {
@@ -213,10 +217,10 @@
 
     override val isWritable: Boolean get() = context.channel().isWritable
 
-    private fun write(response: HttpResponse, isLast: Boolean) {
+    private fun write(response: HttpResponse, bodyBytes: Int, isLast: Boolean) {
         if (connections.isStopping) isKeepAlive = false
         if (!isKeepAlive) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        val written = context.writeAndFlush(response)
+        val written = output.account(bodyBytes) { context.writeAndFlush(response) }
         if (isLast && !isKeepAlive) written.addListener(closeWhenWritten())
     }
 
@@ -257,7 +261,8 @@
     }
 
     override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        exchange?.callerWritable(ctx.channel().isWritable)
+        exchange?.callerWritable(isWritable)
+        output.writabilityChanged()
     }
 
     override fun channelInactive(ctx: ChannelHandlerContext) {
