--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -87,6 +87,8 @@
     SECOND_ATTEMPT_SENT(641, "First answer is late; the request is sent to a second upstream"),
     SECOND_ATTEMPTS_LIMITED(642, "Late requests get no second attempt: a limit is reached"),
     SECOND_ATTEMPTS_ALLOWED(643, "Late requests that may run again get second attempts, within a share of the work"),
+    SLOW_CALLER_ENDED(644, "Caller that reads slowly was ended, to make room for other answers"),
+    STALLED_CALLER_ENDED(645, "Stream ended: its caller does not read, and its upstream would cut it off"),
     BACKGROUND_STEP_FAILED(701, "Background work failed; it is tried again after a pause"),
     BACKGROUND_STEP_RECOVERED(702, "Background work succeeds again"),
     STORE_ERA_MALFORMED(703, "The platform's store named a malformed era; its answers count as of era 0"),
