Predict with the work time that an upstream reports, decaying to its mean

Cause: reports of four figures say how long work takes on that machine now. Speeds were known only as a moving average over about twenty answers. Change: `WorkTimeModel` keeps the last reading and the mean of each upstream, and learns from successive readings how fast they lose their worth; predictions use the expected factor, and speeds and rates of engines are learned with it divided out. Upstreams without the figure have a factor of 1.

Ruled out: a mean of the service instead of the upstream, since the reports hold 0.55, 1 or 1.2 times the usual time for good.

--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/UpstreamLoad.kt
@@ -14,6 +14,7 @@
  * @property speed its observed time divided by the predicted time, for prefill and for calls of plain services.
  * @property decodeSpeed the same for decode from a copied cache.
  * @property failures recent failures, by which it is avoided.
+ * @property workTime the last reading of how long work takes there, or null if it reports none.
  */
 public data class UpstreamLoad(
     val slots: Int,
@@ -25,6 +26,7 @@
     val speed: SpeedRatio = SpeedRatio(),
     val decodeSpeed: SpeedRatio = SpeedRatio(),
     val failures: FailureRecord = FailureRecord(),
+    val workTime: WorkTimeReading? = null,
 ) {
     /** Requests of other processes that run or wait there, discounted by the age of the last load report. */
     public fun otherRequestsAt(nowMs: Long): Double {
--- a/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/place/FirstEventPredictor.kt
@@ -42,7 +42,8 @@
         nowMs: Long,
     ): List<Option> {
         val generation =
-            demand.generation ?: return decodeUpstreams.map { plainOption(demand, it, loads.loadOf(it), nowMs) }
+            demand.generation
+                ?: return decodeUpstreams.map { plainOption(demand, it, loads.loadOf(it), estimates, nowMs) }
         val prefillUpstreams =
             if (generation.promptTokens < MIN_DISAGGREGATED_PROMPT_TOKENS) emptyList() else prefillStage
         val sources =
@@ -56,13 +57,20 @@
             prefills.flatMap { prefillAt -> decodes.map { disaggregatedOption(context, prefillAt, it) } }
     }
 
-    private fun plainOption(demand: Demand, upstream: Upstream, load: UpstreamLoad, nowMs: Long): Option {
+    private fun plainOption(
+        demand: Demand,
+        upstream: Upstream,
+        load: UpstreamLoad,
+        estimates: ServiceEstimates,
+        nowMs: Long,
+    ): Option {
         val requests = load.requestsAt(nowMs)
         val slots = upstream.slots.coerceAtLeast(1)
         val waves = 1 + (requests + 1 - slots).coerceAtLeast(0.0) / slots
         val roundTripMs = distances.roundTripMs(upstream.dataCentre)
         val callMs = demand.route.objectiveMs * PLAIN_CALL_OBJECTIVE_SHARE
-        val ms = callMs * waves * load.speed.ratio + roundTripMs
+        val workTime = estimates.workTimes.relativeAt(load.workTime, nowMs)
+        val ms = callMs * waves * load.speed.ratio * workTime + roundTripMs
         val chosen = Placement.Chosen(upstream, null, 0, 0.0, callMs, 0.0, ms)
         val fullSlotsPenaltyMs = demand.route.objectiveMs * FULL_SLOTS_OBJECTIVE_SHARE
         return Option(chosen, ms + requests / slots * fullSlotsPenaltyMs, requests < slots)
@@ -72,7 +80,7 @@
         val upstream = decodeAt.upstream
         val load = decodeAt.load
         val read = PrefillWork(context, upstream, load)
-        val factor = INTERLEAVED_PREFILL_FACTOR * load.speed.ratio
+        val factor = INTERLEAVED_PREFILL_FACTOR * load.speed.ratio * context.workTimeOf(load)
         val promptReadyMs = (load.prefillBacklogMs(context.nowMs) + read.prefillMs) * factor
         val ms = promptReadyMs + decodeAt.firstEventMs + read.roundTripMs
         val takesLongOutputs = upstream.id in context.longOutputIds
@@ -148,6 +156,9 @@
         private val unknownMsPerToken =
             objectiveMs * UNKNOWN_PREFILL_OBJECTIVE_SHARE / generation.promptTokens.coerceAtLeast(1)
 
+        /** How long work is expected to take at the upstream with [load], divided by the mean. */
+        fun workTimeOf(load: UpstreamLoad): Double = estimates.workTimes.relativeAt(load.workTime, nowMs)
+
         fun prefillMs(tokens: Int, stage: EngineStage?): Double =
             tokens * (estimates.rates.prefillMsPerToken(stage) ?: unknownMsPerToken)
     }
@@ -197,7 +208,7 @@
         context: Context,
     ) {
         val read = PrefillWork(context, upstream, load)
-        val speedRatio = load.speed.ratio
+        val speedRatio = load.speed.ratio * context.workTimeOf(load)
         private val queueMs = load.prefillBacklogMs(context.nowMs) * CONCURRENT_PREFILL_FACTOR
         val hasFreeSlots = load.requestsAt(context.nowMs) < upstream.slots * FREE_SLOTS_MAX_USED_SHARE
         val readyMs = (queueMs + read.prefillMs) * speedRatio + read.roundTripMs
@@ -212,7 +223,7 @@
         val hasFreeSlots = requests < upstream.slots * FREE_SLOTS_MAX_USED_SHARE
         private val slotMs =
             (requests + 1 - upstream.slots).coerceAtLeast(0.0) * context.objectiveMs * SLOT_RELEASE_OBJECTIVE_SHARE
-        val firstEventMs = slotMs + context.firstEventSteps * context.decodeStepMs
+        val firstEventMs = (slotMs + context.firstEventSteps * context.decodeStepMs) * context.workTimeOf(load)
     }
 
     private fun Map<Incarnation, UpstreamLoad>.loadOf(upstream: Upstream): UpstreamLoad =
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AttemptTracker.kt
@@ -19,6 +19,11 @@
     private val isPrefill = upstream == chosen.prefill
     private val predictedMs = if (isPrefill) chosen.readyMs else chosen.firstEventMs - chosen.readyMs
     private val key = "${sequence++}"
+    private val placedWorkTime = relativeWorkTime(sentAtMs)
+    private var answeredWorkTime = placedWorkTime
+
+    /** The prediction with the work time that the answer reports, so that speeds are learned without that. */
+    private val correctedMs: Double get() = predictedMs * answeredWorkTime / placedWorkTime
     private var hasRunStarted = false
     private var hasFirstToken = false
     private var firstTokenAtMs = 0L
@@ -32,10 +37,21 @@
         update { it.sent(key, OwnAttempt(sentAtMs, prefillMs, decodeMs)) }
     }
 
-    /** Records the load report in the answer's [head], if there is one. */
+    /** Records the load report in the answer's [head], if there is one; another upstream's says nothing of this one. */
     fun headReceived(head: UpstreamHead) {
         val reported = head.load?.counts ?: return
-        update { it.withReportedLoad(reported.running, reported.waiting, serving.nowMs()) }
+        if (head.isMisdirected) return
+        val nowMs = serving.nowMs()
+        val previous = serving.loadView[incarnation]?.workTime
+        val reading =
+            reported.workTime?.let { serving.estimatesOf(demand.service).workTimes.reading(previous, it, nowMs) }
+        if (reading != null) {
+            serving.updateEstimates(demand.service) { it.copy(workTimes = it.workTimes.observed(previous, reading)) }
+        }
+        update {
+            it.withReportedLoad(reported.running, reported.waiting, nowMs).copy(workTime = reading ?: it.workTime)
+        }
+        answeredWorkTime = relativeWorkTime(nowMs)
     }
 
     /** Records that the upstream has begun to run the request. */
@@ -54,15 +70,17 @@
         firstTokenAtMs = nowMs
         val observedMs = (nowMs - sentAtMs).toDouble()
         if (!continuesCopy) {
-            serving.updateEstimates(demand.service) { it.firstEvent(chosen, observedMs, upstream.stage) }
+            serving.updateEstimates(demand.service) {
+                it.firstEvent(chosen, observedMs, upstream.stage, answeredWorkTime)
+            }
         }
         update { load ->
             val started = load.ownAttempts[key]?.copy(hasFirstToken = true)
             load.copy(
                 ownAttempts = if (started == null) load.ownAttempts else load.ownAttempts.put(key, started),
-                speed = if (continuesCopy) load.speed else load.speed.observed(predictedMs, observedMs),
+                speed = if (continuesCopy) load.speed else load.speed.observed(correctedMs, observedMs),
                 decodeSpeed =
-                    if (continuesCopy) load.decodeSpeed.observed(predictedMs, observedMs) else load.decodeSpeed,
+                    if (continuesCopy) load.decodeSpeed.observed(correctedMs, observedMs) else load.decodeSpeed,
                 cache =
                     demand.generation?.let { load.cache.prefilled(it.parts, demand.engine?.cacheTokens ?: 0) }
                         ?: load.cache,
@@ -81,7 +99,7 @@
 
     private fun decodeObserved(nowMs: Long) {
         val tokens = demand.generation?.outputTokens ?: return
-        val decodeMs = (nowMs - firstTokenAtMs).toDouble()
+        val decodeMs = (nowMs - firstTokenAtMs) / answeredWorkTime
         serving.updateEstimates(demand.service) { it.copy(rates = it.rates.decoded(tokens, decodeMs)) }
     }
 
@@ -97,7 +115,7 @@
             load.copy(
                 ownAttempts = load.ownAttempts.remove(key),
                 failures = if (isSuccess) load.failures.succeeded() else load.failures.failed(nowMs),
-                speed = if (demand.generation == null) load.speed.observed(predictedMs, observedMs) else load.speed,
+                speed = if (demand.generation == null) load.speed.observed(correctedMs, observedMs) else load.speed,
             )
         }
     }
@@ -114,6 +132,9 @@
         update { it.copy(ownAttempts = it.ownAttempts.remove(key)) }
     }
 
+    private fun relativeWorkTime(nowMs: Long): Double =
+        serving.estimatesOf(demand.service).workTimes.relativeAt(serving.loadView[incarnation]?.workTime, nowMs)
+
     private fun update(change: (UpstreamLoad) -> UpstreamLoad) = serving.updateLoad(incarnation, upstream.slots, change)
 
     private companion object {
