Join the allowances without a peer socket too, and count a call that goes on without its caller

Cause: a process without a datagram socket took itself for a second one, and a call that was sent after its caller had left was put back. Result: AllowanceTest and UpstreamLimitTest pass (the latter had failed once in three cases at a load of 22).

--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -319,7 +319,8 @@
     /** Logs a request that has ended after [possibleRuns] runs, and no longer counts it as in flight. */
     fun finished(record: ExchangeRecord, outcome: Outcome, possibleRuns: Int) {
         inFlight--
-        record.demand?.let { allowances.settle(it, possibleRuns) }
+        val runs = if (record.isOrphaned) maxOf(1, possibleRuns) else possibleRuns
+        record.demand?.let { allowances.settle(it, runs) }
         log.finished(record, outcome, config?.version, configFreshness.confirmedAtMs, nowMs())
     }
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -15,6 +15,7 @@
 import org.medlarhook.runtime.log.event
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.runtime.thread.StepFailures
+import org.medlarhook.serving.allowance.AllowancePeers
 import org.medlarhook.serving.call.CallFormat
 import org.medlarhook.serving.call.RequestLog
 import org.medlarhook.serving.call.ServingLoop
@@ -104,6 +105,7 @@
      * their first requests on a VM that has only a fraction of a core.
      */
     public fun start() {
+        serving.loop.execute { serving.allowances.join(settings.process, peers ?: AllowancePeers { }) }
         feeds.start()
         peers?.let {
             it.open()
@@ -111,7 +113,6 @@
                 serving.origins.peers = it
                 serving.availability.peers = it
                 serving.crashes.peers = it
-                serving.allowances.join(settings.process, it)
             }
         }
         status.start()
