--- a/core/src/main/kotlin/org/medlarhook/core/serving/load/WorkTimeModel.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/load/WorkTimeModel.kt
@@ -20,6 +20,9 @@
     private val comparedMs: Double = 0.0,
     private val changes: Double = 0.0,
 ) {
+    /** True once an upstream has told how long work takes there. */
+    public val isTold: Boolean get() = readings > 0
+
     /** The time after which a reading has lost most of its worth, in milliseconds. */
     val decayMs: Double
         get() = (INITIAL_DECAY_MS * INITIAL_CHANGES + comparedMs) / (INITIAL_CHANGES + changes)
--- a/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
+++ b/runtime/src/main/kotlin/org/medlarhook/runtime/log/LogEvent.kt
@@ -78,7 +78,10 @@
     ANSWER_DISCARDED(629, "Answer discarded: no request waits for it"),
     ANSWER_UNREADABLE(630, "Answer could not be read; its connection is closed"),
     ALLOWANCE_EXCEEDED(631, "Requests refused: their workspace asks for more than its allowance"),
-    ALLOWANCE_SHARES_SET_ASIDE(632, "Other processes are silent; an equal share of each allowance is set aside for each"),
+    ALLOWANCE_SHARES_SET_ASIDE(
+        632,
+        "Other processes are silent; an equal share of each allowance is set aside for each",
+    ),
     ALLOWANCE_SHARES_POOLED(633, "All other processes are heard; the allowances follow demand"),
     ALLOWANCES_IN_FORCE(634, "Allowances of workspaces in force"),
     LOAD_REPORT_MALFORMED(635, "Upstream sent a malformed load report; that report is ignored"),
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/AnswerBuffers.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/AnswerBuffers.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import org.medlarhook.ports.TimeSource
 
 /**
  * Limits the memory of answers and events that are kept until they are whole, over all requests and for each of them,
@@ -11,10 +12,11 @@
  * @param maxBytes the greatest number of bytes kept in all.
  */
 internal class AnswerBuffers(
+    time: TimeSource,
     private val maxBytes: Long = minOf(MAX_KEPT_BYTES, Runtime.getRuntime().maxMemory() / HEAP_PARTS),
 ) {
     /** What callers' connections have not written yet. */
-    val unwritten = UnwrittenOutput(maxBytes)
+    val unwritten = UnwrittenOutput(maxBytes, time)
 
     /** The memory that all buffers take. */
     var keptBytes = 0L
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/RequestLog.kt
@@ -11,9 +11,9 @@
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.allowance.AllowanceLog
 import org.medlarhook.serving.crash.CrashLog
+import org.medlarhook.serving.fair.FairAdmissionLog
 import org.medlarhook.serving.process.LogThrottle
 import org.medlarhook.serving.second.SecondAttemptLog
-import org.medlarhook.serving.fair.FairAdmissionLog
 import org.medlarhook.serving.upstream.AnswerLog
 import java.time.Duration
 import java.util.concurrent.TimeUnit
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/ServingLoop.kt
@@ -77,8 +77,14 @@
     val cacheReleases = CacheReleases(this)
     val secondAttempts = SecondAttempts(this, log.seconds)
 
+    /** The longest time for which a caller may keep its upstream waiting, or null for no limit. */
+    val maxCallerPauseMs: Long? get() = bounds.maxCallerPauseMs
+
+    /** True if an upstream of [service] has told how long work takes on the machine that it shares with others. */
+    fun sharesMachines(service: String): Boolean = estimatesOf(service).workTimes.isTold
+
     /** The plain answers that are kept until they are whole. */
-    val answerBuffers = AnswerBuffers()
+    val answerBuffers = AnswerBuffers(time)
 
     init {
         availability.onLeaving = { pool.closeIdle(it.incarnation) }
--- a/serving/src/main/kotlin/org/medlarhook/serving/call/UnwrittenOutput.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/call/UnwrittenOutput.kt
@@ -3,7 +3,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.medlarhook.core.serving.pressure.PendingOutput
 import org.medlarhook.core.serving.pressure.SlowReaders
-import org.medlarhook.ports.SystemTimeSource
 import org.medlarhook.ports.TimeSource
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.warnEvent
@@ -22,7 +21,7 @@
  */
 internal class UnwrittenOutput(
     private val maxBytes: Long,
-    private val time: TimeSource = SystemTimeSource,
+    private val time: TimeSource,
 ) {
     private val held = LinkedHashMap<OutputHolder, PendingOutput<OutputHolder>>()
 
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerConnection.kt
@@ -61,7 +61,8 @@
 
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
-        output = CallerOutput(serving.answerBuffers.unwritten, ctx.channel(), this) { exchange != null }
+        val unwritten = serving.answerBuffers.unwritten
+        output = CallerOutput(unwritten, ctx.channel(), this, { serving.maxCallerPauseMs }) { exchange != null }
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
--- a/serving/src/main/kotlin/org/medlarhook/serving/http/CallerOutput.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/http/CallerOutput.kt
@@ -3,7 +3,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
-import org.medlarhook.core.serving.pressure.SlowReaders
 import org.medlarhook.runtime.log.LogEvent
 import org.medlarhook.runtime.log.warnEvent
 import org.medlarhook.serving.call.OutputHolder
@@ -16,12 +15,14 @@
 /**
  * Keeps the output of one connection in the account of [output] until it is written.
  *
+ * @param maxPauseMs how long the connection may keep an upstream waiting, or null for no limit.
  * @param isUpstreamWaiting true while a request is served on the connection, whose upstream waits for the caller.
  */
 internal class CallerOutput(
     private val output: UnwrittenOutput,
     private val channel: Channel,
     private val holder: OutputHolder,
+    private val maxPauseMs: () -> Long?,
     private val isUpstreamWaiting: () -> Boolean,
 ) {
     private var pause: Future<*>? = null
@@ -40,13 +41,14 @@
     fun writabilityChanged() {
         pause?.cancel(false)
         pause = null
+        val maxMs = maxPauseMs() ?: return
         if (channel.isWritable || !isUpstreamWaiting()) return
-        pause = channel.eventLoop().schedule(::endPaused, SlowReaders.MAX_PAUSE_MS, TimeUnit.MILLISECONDS)
+        pause = channel.eventLoop().schedule({ endPaused(maxMs) }, maxMs, TimeUnit.MILLISECONDS)
     }
 
-    private fun endPaused() {
+    private fun endPaused(pausedMs: Long) {
         if (channel.isWritable || !channel.isActive || !isUpstreamWaiting()) return
-        logger.warnEvent(LogEvent.STALLED_CALLER_ENDED, "pausedMs" to SlowReaders.MAX_PAUSE_MS)
+        logger.warnEvent(LogEvent.STALLED_CALLER_ENDED, "pausedMs" to pausedMs)
         holder.abort()
     }
 }
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingBounds.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingBounds.kt
@@ -12,6 +12,8 @@
  * @property usageWindowMs the length of a usage window.
  * @property usageLateMs the time after the end of a usage window within which its report is due.
  * @property leaseMs the platform's bound on the lease of the usage reporter.
+ * @property maxCallerPauseMs the longest time for which a caller that does not read may keep its upstream waiting,
+ * or null if upstreams wait until the deadline.
  * @property allowance the tolerance for the use of workspaces' allowances.
  * @property shutdownMs how long a graceful shutdown may take.
  */
@@ -24,5 +26,6 @@
     val usageLateMs: Long,
     val leaseMs: Long,
     val shutdownMs: Long,
+    val maxCallerPauseMs: Long? = null,
     val allowance: AllowanceBounds = AllowanceBounds(),
 )
--- a/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/process/ServingProcess.kt
@@ -56,8 +56,9 @@
     private val meters = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val group = NioEventLoopGroup(1)
     private val time = ports.time
-    private val placer = FairPlacer(settings.placer(), settings.fairAdmission, FairAdmissionLog(meters))
-    private val serving =
+    private val placer =
+        FairPlacer(settings.placer(), settings.fairAdmission, FairAdmissionLog(meters)) { serving.sharesMachines(it) }
+    private val serving: ServingLoop =
         ServingLoop(group.next(), ports.format, time, settings.bounds, placer, RequestLog(meters))
             .also { it.secondAttempts.share = settings.secondAttemptShare }
     private val callerConnections = CallerConnections(serving)
