--- a/core/src/main/kotlin/org/medlarhook/core/serving/fair/FairDivision.kt
+++ b/core/src/main/kotlin/org/medlarhook/core/serving/fair/FairDivision.kt
@@ -16,6 +16,9 @@
     private val urgency: Map<Int, Double>,
     public val atMs: Long,
 ) {
+    /** True if no workspace has asked for anything lately. */
+    public val isEmpty: Boolean get() = work.isEmpty()
+
     /** The standing of a request of [workspace] with [priority]. */
     public fun standing(workspace: String, priority: Int): WorkspaceStanding =
         WorkspaceStanding(work[workspace] ?: 0.0, fairShare, toldAgeMs, urgency[priority] ?: 1.0)
--- a/serving/src/main/kotlin/org/medlarhook/serving/fair/FairPlacer.kt
+++ b/serving/src/main/kotlin/org/medlarhook/serving/fair/FairPlacer.kt
@@ -58,7 +58,7 @@
         }
 
     private fun divisionOf(service: String, nowMs: Long): FairDivision {
-        divisions[service]?.takeIf { nowMs - it.atMs < DIVISION_MS }?.let { return it }
+        divisions[service]?.takeIf { !it.isEmpty && nowMs - it.atMs < DIVISION_MS }?.let { return it }
         if (nowMs - prunedAtMs >= PRUNE_EVERY_MS) {
             shares = shares.pruned(nowMs)
             prunedAtMs = nowMs
@@ -67,7 +67,7 @@
     }
 
     private companion object {
-        /** A division is used this long: an account changes little in this part of its time constant. */
+        /** A division is used this long, since an account that is not empty changes little in this time. */
         const val DIVISION_MS = 50L
         const val PRUNE_EVERY_MS = 1_000L
     }
