--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and clients of the cases 6 to 10. They need the JDK only.
+# Builds the stand-ins and clients of the cases 6 and 7. They need the JDK only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
--- a/review/stand2/LateDecode.java
+++ b/review/stand2/LateDecode.java
@@ -7,10 +7,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.locks.ReentrantLock;
 
 /**
  * An engine of the decode stage drains and leaves while prompts of requests that were placed there are still read at an
@@ -20,13 +23,13 @@
     static final int DRAIN_MS = 2_500;
     /** How long a leaving engine serves on after that. */
     static final int LITTLE_LONGER_MS = 1_200;
-    static final int PROMPT_TOKENS = 200_000;
+    static final int PROMPT_TOKENS = 39_600;
     static final int PREFILL_TOKENS_PER_MS = 514;
     static final int SLOW_TIMES = 8;
     static final int SLOW_FOR_MS = 6_500;
     static final int PREFILL_ENGINES = 2, DECODE_ENGINES = 6;
     static final int EVENTS = 40, EVENT_EVERY_MS = 40;
-    static final int REQUESTS = 6, ROUNDS = 3;
+    static final int FRONTS = 3, REQUESTS = 8, ROUNDS = 1;
 
     /** A run at an engine: when the request reached it, and how many events it made. */
     static final class Arrival {
@@ -38,6 +41,8 @@
 
     /** Until when the first prefill engine is slow, on the clock of the case. */
     static volatile long slowUntilMs = -1;
+    /** An engine reads one prompt after another. */
+    static final Map<String, ReentrantLock> turns = new ConcurrentHashMap<>();
     static final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
 
     public static void main(String[] args) throws Exception {
@@ -72,8 +77,16 @@
             engines.add(engine);
             register(store, id, engine.port(), "decode", "ready");
         }
-        Stage.Front front = stage.front("front-valle-a-1", store.listener.port(), cloud.port(), List.of());
-        front.awaitReady(20_000);
+        List<Stage.Front> fronts = new ArrayList<>();
+        for (int i = 1; i <= FRONTS; i++) fronts.add(stage.front("front-valle-a-" + i, store.listener.port(), cloud.port(), List.of()));
+        for (Stage.Front front : fronts) front.awaitReady(20_000);
+        List<Thread> first = new ArrayList<>();
+        for (Stage.Front front : fronts) {
+            first.add(Stage.daemon(() -> {
+                for (int k = 0; k < 4; k++) request(stage, front, "first-" + k + "-" + front.node);
+            }));
+        }
+        for (Thread t : first) t.join();
         Thread.sleep(6_000);
 
         long[] drainingAtMs = new long[DECODE_ENGINES];
@@ -86,11 +99,13 @@
                 stage.log("i-prefill-0 works " + SLOW_TIMES + " times as long for " + SLOW_FOR_MS + " ms");
             }
             for (int k = 0; k < REQUESTS; k++) {
-                String id = "r" + round + "-" + k;
-                open.add(pool.submit(() -> outcomes.add(id + " " + request(stage, front, id))));
-                Thread.sleep(20);
+                for (Stage.Front front : fronts) {
+                    String id = "r" + round + "-" + k + "-" + front.node.substring(front.node.lastIndexOf('-') + 1);
+                    open.add(pool.submit(() -> outcomes.add(id + " " + request(stage, front, id))));
+                }
+                Thread.sleep(10);
             }
-            Thread.sleep(100);
+            Thread.sleep(50);
             String leaving = "i-decode-" + round;
             drainingAtMs[round] = stage.ms();
             register(store, leaving, engines.get(round).port(), "decode", "draining");
@@ -113,7 +128,9 @@
             stage.log(a.id + " reached " + a.engine + " at " + a.atMs + (drainingMs > 0 ? ", draining since " + drainingMs : "")
                 + (isLate ? ": LATE by " + (a.atMs - drainingMs - DRAIN_MS) + " ms" : "") + ", events made " + a.events + " of " + EVENTS);
         }
-        for (String line : front.output().split("\n")) if (line.contains("draining=true")) stage.log("front: " + line);
+        for (Stage.Front front : fronts)
+            for (String line : front.output().split("\n"))
+                if (line.contains("draining=true")) stage.log(front.node + " writes " + line);
         outcomes.forEach(stage::log);
         System.out.println("requests " + outcomes.size() + ", arrivals " + arrivals.size() + ", later than drain_ms " + late + ", runs cut " + cut
             + ", " + outcomes);
@@ -128,7 +145,7 @@
             + "\"sequence\":1,\"born\":1700000000000}");
     }
 
-    /** An engine of the prefill stage: reads prompts, several at a time, and keeps a handle for each. */
+    /** An engine of the prefill stage: reads prompts one after another, and keeps a handle for each. */
     static void prefill(Stage stage, Socket socket, String engine) throws Exception {
         InputStream in = new BufferedInputStream(socket.getInputStream());
         for (Stage.Message m = Stage.message(in); m != null; m = Stage.message(in)) {
@@ -143,8 +160,14 @@
             }
             int tokens = Integer.parseInt(m.headers.get("x-medlarhook-token-count").split(",")[0].trim());
             stage.log(engine + " begins the prompt of " + id);
-            boolean isSlow = engine.endsWith("-0") && stage.ms() < slowUntilMs;
-            Thread.sleep((long) tokens * (isSlow ? SLOW_TIMES : 1) / PREFILL_TOKENS_PER_MS);
+            ReentrantLock turn = turns.computeIfAbsent(engine, e -> new ReentrantLock(true));
+            turn.lock();
+            try {
+                boolean isSlow = engine.endsWith("-0") && stage.ms() < slowUntilMs;
+                Thread.sleep((long) tokens * (isSlow ? SLOW_TIMES : 1) / PREFILL_TOKENS_PER_MS);
+            } finally {
+                turn.unlock();
+            }
             String body = "{\"handle\":\"h" + id + "\",\"token_count\":" + tokens + ",\"version\":1}";
             socket.getOutputStream().write(("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Medlarhook-Attempt-Id: " + id
                 + "\r\nX-Medlarhook-Server-Stamp: 3e1b\r\nContent-Length: " + body.length() + "\r\n\r\n" + body).getBytes());
