--- a/review/stand2/Stage.java
+++ b/review/stand2/Stage.java
@@ -26,6 +26,7 @@
         this.folder = folder;
         record = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")), true);
         scratch = Files.createTempDirectory("case");
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.forEach(Process::destroyForcibly)));
     }
 
     private final Set<String> seen = ConcurrentHashMap.newKeySet();
